Keep each server its least work when late answers cut the bound on all servers

Counting refusals by cause over all 80 nodes: the bound on all servers fell from 18 units to 0.55 and each gateway rested 2.3 s between sends; 112 sends by the whole fleet in 2.5 s.

Cause: bound() takes 0.8 of a unit off for a late answer and gives 0.1 back for one in time. A gateway of a few hears some twenty answers a second; one of eighty hears five, and none while it rests, so the bound stays closed long after the queues have gone.

Fix: late answers cut it no lower than this gateway's part of two units at each ready server, by warmth. That little makes no queue anywhere.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,6 +47,7 @@
 	limitAim    = 0.2                    // latency over aim above which a server's limit is cut
 	limitCut    = 0.7                    // by this factor, once in a latency
 	leastOpen   = 0.05                   // least bound on all servers together: a share of the time
+	leastEach   = 2.0                    // units out at each server, by all gateways, that lateness does not cut
 	allGrow     = 0.1                    // units by which a unit answered in time lifts it
 	allCut      = 0.8                    // and by which a late one cuts it, once an attempt
 	shedShare   = 0.5                    // while pressed the cheapest work may not use this share of a limit
@@ -908,11 +909,24 @@
 		}
 	} else if !r.late {
 		r.late = true
-		g.limit = max(leastOpen, g.limit-allCut*units)
+		g.limit = max(g.leastLimit(now), g.limit-allCut*units)
 		g.restUntil = now + min(trialMost, seconds(took.Seconds()*(1/g.limit-1))) // past, from one unit up
 	}
 }
 
+// leastLimit is this gateway's part of leastEach units at every ready server, by its warmth. So
+// little out makes no queue, so cutting further cures no lateness; and a gateway of a large
+// fleet, which hears few answers, would need minutes to open again.
+func (g *Gateway) leastLimit(now time.Duration) float64 {
+	sum := 0.0
+	for _, s := range g.roster {
+		if s.State == Ready {
+			sum += g.warmth(now, s)
+		}
+	}
+	return max(leastOpen, leastEach*sum/float64(max(1, g.cfg.Gateways)))
+}
+
 // firstLimit is this gateway's part of the units that may be put at a server unasked.
 func (g *Gateway) firstLimit() float64 { return limitFirst / float64(max(1, g.cfg.Gateways)) }
 
