Spread the calls to discovery over the fleet, and watch from the list held

The nodes' logs hold 2,283 lines '503 Service Unavailable' and no list after the first.

Few calls wait their turn, and those fail after 2.0 s; the rest are turned away at once. Pauses of up to 2 s with jitter (tried) change nothing: discovery stays busy with calls whose callers have gone. Pauses of 2 to 16 s let the first few through.

Cause: run() paused by a fixed, common schedule, capped at 1 s whatever the size of the fleet, and follow() asked for the whole list before each watch, twice the calls and sixty times the lines.

Fix: full jitter, with bounds that grow with the number of edge nodes (75 ms for each); the watch begins at the version that is held, known lists included, and the whole list is asked for only where none is held from that address or track has been lost. A move still acts at once. A failure is logged once, until it changes.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -34,21 +36,31 @@
 
 const (
 	registryPath = "/registry/instances"
-	watchSilence = 5 * time.Second // an empty line comes every 2 s
-	backoffFirst = 50 * time.Millisecond
-	backoffMost  = time.Second
+	watchSilence = 5 * time.Second       // an empty line comes every 2 s
+	callEvery    = 75 * time.Millisecond // what discovery is left for each call of the fleet
+	backoffFirst = 50 * time.Millisecond // least bound of the first pause
+	backoffMost  = time.Second           // least bound of the longest
 	maxLine      = 4 << 20
 )
 
-// discovery follows the list of app servers and tells the loop.
+// discovery follows the list of app servers and tells the loop. Discovery serves all edge
+// nodes and can do only so much at a time, so this asks for little: for what has changed since
+// the list that it holds, and at moments of its own.
 type discovery struct {
 	zones   []string
+	rng     *rand.Rand
+	first   time.Duration // bound of the first pause
+	most    time.Duration // and of the longest
 	silence time.Duration // a watch with no line for so long is dead
 	loop    *loop
 	http    http.Client
 	names   map[string]decide.ServerID
 	ids     map[decide.ServerID]string
 
+	heldFrom string // where the list that is held came from; "": none is held
+	version  uint64 // and its version
+	trouble  string // what the last round failed with
+
 	listed chan struct{} // closed when discovery has first answered
 	once   sync.Once
 
@@ -57,10 +69,13 @@
 	restart context.CancelFunc // ends the present round, so that one at base begins
 }
 
-func newDiscovery(addr string, zones []string, l *loop) *discovery {
+// newDiscovery follows discovery at addr, as one of so many edge nodes.
+func newDiscovery(addr string, zones []string, l *loop, nodes int, seed uint64) *discovery {
 	dialer := net.Dialer{Timeout: time.Second}
+	first := max(backoffFirst, time.Duration(nodes)*callEvery)
 	return &discovery{
-		base: baseURL(addr), zones: zones, silence: watchSilence, loop: l,
+		base: baseURL(addr), zones: zones, rng: rand.New(rand.NewPCG(seed, seed)),
+		first: first, most: max(backoffMost, 2*first), silence: watchSilence, loop: l,
 		names: map[string]decide.ServerID{}, ids: map[decide.ServerID]string{},
 		listed: make(chan struct{}), restart: func() {},
 		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1}},
@@ -89,54 +104,63 @@
 	return ctx, d.base
 }
 
-// run lists and watches, again and again, until ctx ends.
+// run lists and watches, again and again, until ctx ends. Edge nodes that start at once, or
+// whose watches break at once, must not ask at once: calls wait at discovery until those who
+// made them have gone, and it is then busy with the dead ones for good. So each pauses for a
+// random time, up to a bound that grows with the fleet. One that starts with a list can wait too.
 func (d *discovery) run(ctx context.Context) {
 	defer d.http.CloseIdleConnections()
-	wait := backoffFirst
+	wait, pause, last := d.first, time.Duration(0), d.heldFrom
+	if last != "" {
+		pause = d.pause(wait)
+	}
 	for ctx.Err() == nil {
 		round, base := d.round(ctx)
-		heard, err := d.follow(round, base)
-		if heard {
-			wait = backoffFirst
-		} else if round.Err() == nil {
-			log.Printf("discovery: %v", err)
+		if base != last { // moved: at once, and patient anew
+			wait, pause, last = d.first, 0, base
+			d.http.CloseIdleConnections()
 		}
 		select {
-		case <-round.Done(): // moved: at once, and patient anew
-			wait = backoffFirst
-			d.http.CloseIdleConnections()
+		case <-round.Done():
 			continue
-		case <-time.After(wait):
+		case <-time.After(pause):
 		}
-		wait = min(2*wait, backoffMost)
+		heard, err := d.follow(round, base)
+		if heard {
+			wait, d.trouble = d.first, ""
+		} else if round.Err() == nil && err.Error() != d.trouble {
+			d.trouble = err.Error() // once, not at each attempt
+			log.Printf("discovery: %v", err)
+		}
+		pause = d.pause(wait)
+		wait = min(2*wait, d.most)
 	}
 }
 
-// follow lists once and then watches until the watch breaks. It reports whether the
-// list was had.
+// pause is a random time up to a bound: backoff with full jitter.
+func (d *discovery) pause(bound time.Duration) time.Duration {
+	return time.Duration(d.rng.Int64N(int64(bound)))
+}
+
+// follow watches until the watch breaks. A whole list is asked for only where none is held from
+// this address: it costs discovery work for every line. It reports whether discovery answered.
 func (d *discovery) follow(ctx context.Context, base string) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	alive := time.AfterFunc(d.silence, cancel)
 	defer alive.Stop()
 
-	body, err := d.get(ctx, base)
-	if err != nil {
-		return false, err
+	if d.heldFrom != base {
+		if err := d.list(ctx, base); err != nil {
+			return false, err
+		}
+		d.once.Do(func() { close(d.listed) })
 	}
-	var list roster
-	err = json.NewDecoder(io.LimitReader(body, maxLine)).Decode(&list)
-	body.Close()
+	body, err := d.get(ctx, base+"?watch=1&after="+strconv.FormatUint(d.version, 10))
 	if err != nil {
-		return false, fmt.Errorf("the list: %w", err)
+		return false, err
 	}
-	d.tell(ctx, list)
 	d.once.Do(func() { close(d.listed) })
-
-	body, err = d.get(ctx, base+"?watch=1&after="+strconv.FormatUint(list.Version, 10))
-	if err != nil {
-		return true, err
-	}
 	defer body.Close()
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLine)
@@ -147,13 +171,32 @@
 		}
 		var change roster
 		if err := json.Unmarshal(lines.Bytes(), &change); err != nil {
+			d.heldFrom = "" // what it changed is not known
 			return true, fmt.Errorf("a change: %w", err)
 		}
-		d.tell(ctx, change)
+		d.tell(ctx, base, change)
+	}
+	if errors.Is(lines.Err(), bufio.ErrTooLong) {
+		d.heldFrom = ""
 	}
 	return true, lines.Err()
 }
 
+// list has the whole list.
+func (d *discovery) list(ctx context.Context, base string) error {
+	body, err := d.get(ctx, base)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	var list roster
+	if err := json.NewDecoder(io.LimitReader(body, maxLine)).Decode(&list); err != nil {
+		return fmt.Errorf("the list: %w", err)
+	}
+	d.tell(ctx, base, list)
+	return ctx.Err()
+}
+
 func (d *discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -171,13 +214,14 @@
 }
 
 // tell hands news to the loop.
-func (d *discovery) tell(ctx context.Context, list roster) {
+func (d *discovery) tell(ctx context.Context, base string, list roster) {
 	kind := decide.RosterDelta
 	if list.Full {
 		kind = decide.RosterFull
 	}
 	select {
 	case d.loop.rosters <- d.news(kind, list):
+		d.heldFrom, d.version = base, list.Version
 	case <-ctx.Done():
 	case <-d.loop.done:
 	}
@@ -189,6 +233,9 @@
 	if len(list.Servers) == 0 {
 		return
 	}
+	if list.Full {
+		d.heldFrom, d.version = d.base, list.Version
+	}
 	n := d.news(decide.RosterCached, list)
 	n.applied = make(chan struct{})
 	select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -605,7 +605,7 @@
 	cfg := testConfig(t, "")
 	l := newLoop(newClock(), moduleConfig(cfg, 1), newPool(cfg))
 	go l.run(stop)
-	d := newDiscovery(r.Listener.Addr().String(), nil, l)
+	d := newDiscovery(r.Listener.Addr().String(), nil, l, 1, 1)
 	d.silence = 100 * time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -625,7 +625,7 @@
 
 // Guards the time axis: started_ms must fall on the module's clock, and 0 be long ago.
 func TestStartedFallsOnTheClock(t *testing.T) {
-	d := newDiscovery("", []string{"a", "b"}, nil)
+	d := newDiscovery("", []string{"a", "b"}, nil, 1, 1)
 	now := time.Now()
 	n := d.news(0, roster{Servers: []instance{
 		{ID: "x", Addr: "127.0.0.1:1", Zone: "b", State: "up", StartedMS: now.UnixMilli()},
@@ -649,7 +649,7 @@
 	old.servers["a"] = line("a", "127.0.0.1:1", "up", 0)
 	fresh.servers["b"] = line("b", "127.0.0.1:2", "up", 0)
 	l := &loop{rosters: make(chan rosterNews, 16), done: make(chan struct{})}
-	d := newDiscovery(old.Listener.Addr().String(), nil, l)
+	d := newDiscovery(old.Listener.Addr().String(), nil, l, 1, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { d.run(ctx); close(ended) }()
@@ -688,6 +688,68 @@
 	waitFor(t, "the end of discovery", ended)
 }
 
+// Whole lists from eighty nodes at once keep discovery too busy to answer any: a node that
+// holds a list asks for what has changed since, and for the whole only when it has lost track.
+func TestAHeldListIsWatchedFromItsVersion(t *testing.T) {
+	asked := make(chan string, 100)
+	lines := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		asked <- q.URL.RawQuery
+		if q.URL.Query().Get("watch") == "" {
+			io.WriteString(w, `{"version":9,"full":true,"servers":[`+line("c", "127.0.0.1:3", "up", 0)+`]}`)
+			return
+		}
+		io.WriteString(w, <-lines+"\n")
+	}))
+	defer s.Close()
+	l := &loop{rosters: make(chan rosterNews, 16), done: make(chan struct{})}
+	d := newDiscovery(s.Listener.Addr().String(), nil, l, 1, 1)
+	go func() { close((<-l.rosters).applied) }()
+	d.known(roster{Version: 41, Full: true, Servers: []instance{{ID: "a", Addr: "127.0.0.1:1", State: "up"}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.run(ctx); close(ended) }()
+	for _, k := range []struct{ query, says string }{
+		{"watch=1&after=41", `{"version":42,"full":false,"servers":[` + line("b", "127.0.0.1:2", "up", 0) + `]}`},
+		{"watch=1&after=42", `{"version":43,"full":fal`}, // ends in the middle: what changed is lost
+		{"", ""},
+		{"watch=1&after=9", ""},
+	} {
+		select {
+		case q := <-asked:
+			if q != k.query {
+				t.Fatalf("asked %q, want %q", q, k.query)
+			}
+			if q != "" {
+				lines <- k.says
+			}
+		case <-time.After(limit):
+			t.Fatalf("never asked %q", k.query)
+		}
+	}
+	cancel()
+	waitFor(t, "the end of discovery", ended)
+}
+
+// A fleet that starts at once, or loses its watches at once, must not come back at once.
+func TestCallsToDiscoveryAreSpreadOverTheFleet(t *testing.T) {
+	const nodes = 80
+	var first, alone int
+	for n := range nodes {
+		d := newDiscovery("127.0.0.1:1", nil, nil, nodes, uint64(n))
+		if d.pause(d.first) < time.Second {
+			first++
+		}
+		if d := newDiscovery("127.0.0.1:1", nil, nil, 1, uint64(n)); d.pause(d.most) < time.Second {
+			alone++
+		}
+	}
+	// A second's part of 80 calls, 75 ms each, is about 13.
+	if first < 4 || first > 26 || alone != nodes {
+		t.Errorf("%d of %d nodes call in the first second; %d that are alone call again within one", first, nodes, alone)
+	}
+}
+
 // Guards a planned restart: what is out is answered, new connections are still served,
 // and idle ones end.
 func TestDrain(t *testing.T) {
