Leave six units of work at each server when late answers cut the common bound

Two units at a server of two cores is one request: half of it idles.

leastEach 2 -> 6, a request and a half for each core.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,7 @@
 	limitAim    = 0.2                    // latency over aim above which a server's limit is cut
 	limitCut    = 0.7                    // by this factor, once in a latency
 	leastOpen   = 0.05                   // least bound on all servers together: a share of the time
-	leastEach   = 2.0                    // units out at each server, by all gateways, that lateness does not cut
+	leastEach   = 6.0                    // units out at each server, by all gateways, that lateness does not cut
 	allGrow     = 0.1                    // units by which a unit answered in time lifts it
 	allCut      = 0.8                    // and by which a late one cuts it, once an attempt
 	shedShare   = 0.5                    // while pressed the cheapest work may not use this share of a limit
