Follow a gateway's part of the use over three lags, with a smaller own store

A customer's busiest nodes change every 13 to 24 s; the part, averaged over nine seconds, has just been learnt when they do.

partOver 5 -> 3 lags; the least own store is a usual request (0.6 of a largest) in place of a largest. Tried: two lags, half the prior, a fuller store (0.545), a faster feed: each no better.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,8 +26,9 @@
 	passPeriod  = 500 * time.Millisecond // paper, V.B: every half to one second
 	forgetUse   = 0.01                   // a quiet customer below this share of its quota is forgotten
 	debtMost    = 5.0                    // seconds of its quota that the own store may lack before readings tell
+	mineLeast   = 0.6                    // usual request, over the largest: what the own store holds at least
 	meterLag    = 1.75                   // a reading trails by about this many meter periods
-	partOver    = 5.0                    // this gateway's part of the use is averaged over so many lags
+	partOver    = 3.0                    // this gateway's part of the use is averaged over so many lags
 	freshFor    = 3                      // a reading counts for this many meter periods
 	pressOn     = 0.6                    // latency over aim at which the back end is pressed
 	pressOff    = 0.4                    // and at which it no longer is
@@ -435,10 +436,10 @@
 	return c.plan.Quota*g.cfg.MeterPeriod.Seconds() >= max(1, g.cfg.MostUnits)
 }
 
-// mostMine is this gateway's part of the burst, and a largest request at least: in a large
-// fleet the part is less, and a debt of one request would last for a minute.
+// mostMine is this gateway's part of the burst, and a usual request at least: in a large fleet
+// the part is less, and a debt of one request would last for a minute.
 func (g *Gateway) mostMine(c *customer) float64 {
-	return max(c.plan.Burst*g.part(c), g.cfg.MostUnits, 1)
+	return max(c.plan.Burst*g.part(c), mineLeast*g.cfg.MostUnits, 1)
 }
 
 // part is this gateway's observed part of a customer's use; before the meter has told
