Eject a server after one failure, and try it with repeatable work first

Cause: fault() wants three failures in a row. A gateway of eighty sends a given server a request every few seconds, and the answers in between that go well start the count anew; a server that fails fast always looks free. A trial with a post-ad that fails is a lost post-ad.

Fix: one failure ejects (healthy servers make under 1 in 2,000), and work that must not run twice joins the trials only 8 s later.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,7 +38,7 @@
 	costGain    = 0.2                    // weight of one answer in a server's latency
 	costFade    = 4 * time.Second        // an unvisited server's latency drifts to the mean in this time
 	crossZone   = 1.1                    // another zone must be this much cheaper
-	failsToDrop = 3                      // failures in a row that eject a server
+	failsToDrop = 1                      // failures in a row that eject a server: a well one makes next to none
 	trialFirst  = time.Second            // first back-off of an ejected server
 	trialMost   = 8 * time.Second        // longest back-off
 	dropMost    = 0.5                    // share of the roster that may be ejected
@@ -638,7 +638,7 @@
 		if s.State != Ready || !g.mayGo(now, r, s) || !g.coldRoom(now, s, r.Units) {
 			continue
 		}
-		if s.ejected && now < s.trialAt || s.outN > 0 && s.outUnits+r.Units > s.limit {
+		if s.ejected && now < s.trialFor(r) || s.outN > 0 && s.outUnits+r.Units > s.limit {
 			continue
 		}
 		if g.pressed && s.outUnits+r.Units > s.limit*(1-shedShare*(1-g.worth(r))) && s.outN > 0 {
@@ -662,6 +662,15 @@
 	return best
 }
 
+// trialFor is when an ejected server may be tried with a request. One that must not run twice
+// is lost where the trial fails, so others go first for a while.
+func (s *server) trialFor(r *request) time.Duration {
+	if r.class.Repeat == AtMostOnce {
+		return s.trialAt + trialMost
+	}
+	return s.trialAt
+}
+
 // cost is the time a request should take at a server. A server with work out that has
 // said nothing for longer than usual costs the time of its silence on top: this guards
 // against stalls and silent crashes alike, which load reports cannot show.
@@ -965,7 +974,7 @@
 // firstLimit is this gateway's part of the units that may be put at a server unasked.
 func (g *Gateway) firstLimit() float64 { return limitFirst / float64(max(1, g.cfg.Gateways)) }
 
-// fault counts a failure against a server; several in a row eject it, for a time that
+// fault counts a failure against a server; failsToDrop in a row eject it, for a time that
 // doubles, but never so many that the rest would be pushed over.
 func (g *Gateway) fault(now time.Duration, s *server) {
 	s.fails++
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -514,6 +514,35 @@
 	}
 }
 
+// A server that fails part of its work fast draws requests, and each of eighty gateways meets it
+// seldom: one failure is enough to leave it alone for a second, and what must not run twice is
+// not what it is then tried with.
+func TestOneFailureEjectsAndOnlyRepeatableWorkTries(t *testing.T) {
+	f := start(config(), 4)
+	f.g.retries = 0
+	f.submit(1, 0, 9, 1)
+	bad := f.g.servers[f.sent[0].to]
+	f.finish(1, ServerError, -1)
+	if !bad.ejected {
+		t.Fatal("not ejected after a failure")
+	}
+	for _, s := range f.g.roster { // nowhere else to go
+		if s != bad {
+			s.State = Draining
+		}
+	}
+	search, post := &f.g.cfg.Classes[0], &f.g.cfg.Classes[2]
+	may := func(at time.Duration, k *Class) bool {
+		c := f.g.customerOf(at, &Request{Customer: 9, Plan: 9, Width: 1})
+		return f.g.pick(at, &request{Request: Request{Units: 1}, class: k, cust: c}) == bad
+	}
+	soon, late := trialFirst+ms, trialFirst+trialMost+ms
+	if may(trialFirst-ms, search) || !may(soon, search) || may(soon, post) || !may(late, post) {
+		t.Errorf("tried early %v, by repeatable work %v, by other work %v, and at last %v",
+			may(trialFirst-ms, search), may(soon, search), may(soon, post), may(late, post))
+	}
+}
+
 // i6a2346: a full server answers at once and so looks idle; it must not draw the retries.
 func TestFullServerCostsMore(t *testing.T) {
 	f := start(config(), 1)
