Leave a server that declines alone for a while, like one that fails

The same nodes try the same servers again and again.

Cause: observe() makes a server that declines dearer by half, but that fades in four seconds and cost falls to whoever has nothing out; only failures ejected.

Fix: a full refusal ejects like a failure does, for one second and twice that each time the trial is declined, and never more than half of the servers.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -924,6 +924,7 @@
 		s.heard = now
 		s.perUnit = max(s.perUnit, g.perUnit) * 1.5
 		s.measured = now
+		g.fault(now, s) // it may be draining, seconds before the roster says so
 	case ServerError, ConnectFailed, Reset:
 		s.heard = now
 		g.fault(now, s)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -543,6 +543,29 @@
 	}
 }
 
+// A server that drains declines what comes, for seconds before the list says so, and a gateway
+// with little traffic goes on meeting it. It is left alone for a second, then for two.
+func TestAServerThatDeclinesIsLeftAlone(t *testing.T) {
+	f := start(config(), 4)
+	f.g.retries = 0
+	f.submit(1, 0, 9, 1)
+	s := f.g.servers[f.sent[0].to]
+	f.finish(1, Full, -1)
+	if !s.ejected || s.trialAt != f.now+trialFirst {
+		t.Fatalf("ejected %v until %v after it declined", s.ejected, s.trialAt)
+	}
+	f.now = s.trialAt
+	f.g.fault(f.now, s) // and again
+	if rest := s.trialAt - f.now; rest != 2*trialFirst {
+		t.Errorf("left alone for %v after it declined again", rest)
+	}
+	f.submit(2, 0, 9, 1)
+	f.finish(2, OK, -1)
+	if other := f.g.servers[f.sent[1].to]; other == s {
+		t.Error("sent to a server that is left alone")
+	}
+}
+
 // i6a2346: a full server answers at once and so looks idle; it must not draw the retries.
 func TestFullServerCostsMore(t *testing.T) {
 	f := start(config(), 1)
