Let two answers tell that a server has turned slow

A node hears from one server every two seconds or less often; at two tenths an answer its average needs five answers.

costGain 0.2 -> 0.4.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -35,7 +35,7 @@
 	pressGain   = 0.05                   // weight of one answer in the pressure average
 	allLate     = 0.5                    // latency over aim from which an answer cuts it
 	holdShare   = 0.5                    // longest hold, as a share of the class's aim
-	costGain    = 0.2                    // weight of one answer in a server's latency
+	costGain    = 0.4                    // weight of one answer in a server's latency
 	costFade    = 4 * time.Second        // an unvisited server's latency drifts to the mean in this time
 	crossZone   = 1.1                    // another zone must be this much cheaper
 	failsToDrop = 1                      // failures in a row that eject a server: a well one makes next to none
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -566,6 +566,22 @@
 	}
 }
 
+// A gateway of a large fleet hears from a server every few seconds, and a bad one turns bad in
+// less: two slow answers must tell.
+func TestTwoSlowAnswersTell(t *testing.T) {
+	f := start(config(), 4)
+	f.submit(1, 0, 9, 1)
+	s := f.g.servers[f.sent[0].to]
+	s.perUnit, f.g.perUnit = 0.05, 0.05
+	was := f.g.cost(f.now, s, 1)
+	for range 2 {
+		f.g.observe(f.now, s, Outcome{Server: s.ID, Took: 200 * ms}, 1, f.g.requests[1])
+	}
+	if now := f.g.cost(f.now, s, 1); now < 2.5*was {
+		t.Errorf("cost %v after two answers four times as slow, %v before", now, was)
+	}
+}
+
 // i6a2346: a full server answers at once and so looks idle; it must not draw the retries.
 func TestFullServerCostsMore(t *testing.T) {
 	f := start(config(), 1)
