Fetch pushed lists from the machine's own agent at once

Ruled out: a busy discovery. On the earlier large fleet calls do wait (190 to 960 ms after a mass restart) or are turned away; its settings say "on_request", the full fleet's say "pushed", and then the address is an agent's that answers at once, at no cost.

At fault: newDiscovery() bounded the pauses by 75 ms for each edge node whatever the settings say (25 s at 330), and run() waited its turn before the first call. With on_request 22 s at 300 nodes is also past AskWithinMs, 10 s, after which a node counts as told.

Design: paceOf() reads the settings. Pushed: the first call at once, failures 50 ms to 1 s apart.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"asterusher/decide"
+	"asterusher/internal/settings"
+	"asterusher/internal/wire"
 )
 
 // roster is a list of app servers, whole or what changed, as discovery words it.
@@ -37,20 +39,47 @@
 const (
 	registryPath = "/registry/instances"
 	watchSilence = 5 * time.Second       // an empty line comes every 2 s
-	callEvery    = 75 * time.Millisecond // what discovery is left for each call of the fleet
+	callEvery    = 75 * time.Millisecond // what a shared discovery is left for each call of the fleet
 	backoffFirst = 50 * time.Millisecond // least bound of the first pause
 	backoffMost  = time.Second           // least bound of the longest
+	askMargin    = 0.8                   // part of the time to ask within that a pause may take
+	failedAsk    = 4                     // after a call that failed, that time is so many times as long
 	maxLine      = 4 << 20
 )
 
-// discovery follows the list of app servers and tells the loop. Discovery serves all edge
-// nodes and can do only so much at a time, so this asks for little: for what has changed since
+// pacing bounds the pauses before calls to discovery.
+type pacing struct {
+	shared bool          // one discovery serves the whole fleet, and even the first call waits its turn
+	first  time.Duration // bound of the first pause
+	most   time.Duration // and of the longest
+}
+
+// paceOf is the pacing that the settings ask for. Where lists are pushed, an agent on this machine
+// holds them: a call to it costs nobody anything, and what it holds counts as told. Where they
+// must be asked for, calls are spread over the size of the fleet, but a node that has not asked
+// for a given time counts as told of all that was listed before.
+func paceOf(s *wire.Settings) pacing {
+	p := pacing{first: backoffFirst, most: backoffMost}
+	if s.Discovery != "on_request" {
+		return p
+	}
+	p.shared = true
+	p.first = max(p.first, time.Duration(s.Balancers)*callEvery)
+	p.most = max(p.most, 2*p.first)
+	if within := askMargin * settings.Duration(s.Safety.AskWithinMs).Seconds(); within > 0 {
+		p.first = max(backoffFirst, min(p.first, time.Duration(within*float64(time.Second))))
+		p.most = max(backoffMost, min(p.most, time.Duration(failedAsk*within*float64(time.Second))))
+	}
+	return p
+}
+
+// discovery follows the list of app servers and tells the loop. Where it serves all edge
+// nodes it can do only so much at a time, so this asks for little: for what has changed since
 // the list that it holds, and at moments of its own.
 type discovery struct {
-	zones   []string
-	rng     *rand.Rand
-	first   time.Duration // bound of the first pause
-	most    time.Duration // and of the longest
+	zones []string
+	rng   *rand.Rand
+	pacing
 	silence time.Duration // a watch with no line for so long is dead
 	loop    *loop
 	http    http.Client
@@ -69,13 +98,12 @@
 	restart context.CancelFunc // ends the present round, so that one at base begins
 }
 
-// newDiscovery follows discovery at addr, as one of so many edge nodes.
-func newDiscovery(addr string, zones []string, l *loop, nodes int, seed uint64) *discovery {
+// newDiscovery follows discovery at addr, at the pace given.
+func newDiscovery(addr string, zones []string, l *loop, pace pacing, seed uint64) *discovery {
 	dialer := net.Dialer{Timeout: time.Second}
-	first := max(backoffFirst, time.Duration(nodes)*callEvery)
 	return &discovery{
 		base: baseURL(addr), zones: zones, rng: rand.New(rand.NewPCG(seed, seed)),
-		first: first, most: max(backoffMost, 2*first), silence: watchSilence, loop: l,
+		pacing: pace, silence: watchSilence, loop: l,
 		names: map[string]decide.ServerID{}, ids: map[decide.ServerID]string{},
 		listed: make(chan struct{}), restart: func() {},
 		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1}},
@@ -105,15 +133,13 @@
 }
 
 // run lists and watches, again and again, until ctx ends. Edge nodes that start at once, or
-// whose watches break at once, must not ask at once: calls wait at discovery until those who
-// made them have gone, and it is then busy with the dead ones for good. So each pauses for a
-// random time, up to a bound that grows with the fleet. One that starts with a list can wait too.
+// whose watches break at once, must not ask a shared discovery at once: calls wait there until
+// those who made them have gone, and it is then busy with the dead ones for good. So each pauses
+// for a random time, up to a bound that grows with the fleet. One that starts with a list can
+// wait too.
 func (d *discovery) run(ctx context.Context) {
 	defer d.http.CloseIdleConnections()
-	wait, pause, last := d.first, time.Duration(0), d.heldFrom
-	if last != "" {
-		pause = d.pause(wait)
-	}
+	wait, pause, last := d.first, d.firstPause(), d.heldFrom
 	for ctx.Err() == nil {
 		round, base := d.round(ctx)
 		if base != last { // moved: at once, and patient anew
@@ -137,6 +163,14 @@
 	}
 }
 
+// firstPause comes before the first call: only a node that holds a list can wait its turn.
+func (d *discovery) firstPause() time.Duration {
+	if d.heldFrom == "" || !d.shared {
+		return 0
+	}
+	return d.pause(d.first)
+}
+
 // pause is a random time up to a bound: backoff with full jitter.
 func (d *discovery) pause(bound time.Duration) time.Duration {
 	return time.Duration(d.rng.Int64N(int64(bound)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 	wg.Go(func() { l.run(stop) })
 	wg.Go(func() { pool.sweep(stop) })
 
-	d := newDiscovery(cfg.Discovery, cfg.Settings.Zones, l, max(1, cfg.Settings.Balancers), seed)
+	d := newDiscovery(cfg.Discovery, cfg.Settings.Zones, l, paceOf(&cfg.Settings), seed)
 	d.known(cfg.Known)
 	watch, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
