Let the meter decide where a split of the burst holds no request

Ruled out: pressure (latency of a unit is flat), the bound on work out, lists.

At fault: beyond() asks the own store (mine) of metered customers, fed by this gateway's part of the quota. At 1/140 it holds less than a request, and one sent on empties it for over a minute whatever the customer's use.

Design: where the burst split over the gateways is less than a unit, the readings tell and an error beyond the quota costs less than a success earns, the store and the chance decide alone. Own sends drain that store before the meter tells. A customer met first beyond its quota has emptied its store unseen: the chance starts as after the periods that its burst lasts. Smaller fleets decide as before.

What is sent beyond quotas is mostly first requests at gateways that know nothing of a customer yet: 6,055 of 6,091 units of standard.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -420,12 +420,15 @@
 	if c.plan.Quota <= 0 {
 		return false
 	}
-	if c.metered && g.telling(c) {
+	switch {
+	case !c.metered || !g.telling(c):
+		if c.local < r.Units {
+			return true
+		}
+	case !g.thin(c):
 		if c.mine < r.Units/2 { // units are a guess, and so is the part
 			return true
 		}
-	} else if c.local < r.Units {
-		return true
 	}
 	return c.metered && c.store < r.Units && g.rng.Float64() < c.refuse
 }
@@ -436,6 +439,14 @@
 	return c.plan.Quota*g.cfg.MeterPeriod.Seconds() >= max(1, g.cfg.MostUnits)
 }
 
+// thin says that a split of the burst over the customer's gateways holds no request at all, in a
+// fleet so large that a gateway meets the customer now and then. A store of own units is then empty
+// after each request, whatever the customer's use: the meter has to decide alone, unless what is
+// let in beyond the quota in error costs as much as what is let in rightly earns.
+func (g *Gateway) thin(c *customer) bool {
+	return c.plan.Burst < c.width && c.plan.OverCost < 1 && g.telling(c)
+}
+
 // mostMine is this gateway's part of the burst, and a usual request at least: in a large fleet
 // the part is less, and a debt of one request would last for a minute.
 func (g *Gateway) mostMine(c *customer) float64 {
@@ -495,7 +506,11 @@
 		c.own *= math.Exp(-dt / lag)
 		c.useSlow = c.useSlow*slow + c.reading*dt
 	}
-	c.store = min(p.Burst, max(0, c.store+(p.Quota-c.reading)*dt))
+	use := c.reading
+	if lag := meterLag * g.cfg.MeterPeriod.Seconds(); lag > 0 && g.thin(c) {
+		use = max(use, c.own/lag) // what goes on from here alone shows before the meter tells
+	}
+	c.store = min(p.Burst, max(0, c.store+(p.Quota-use)*dt))
 	feed := p.Quota
 	if c.metered && !g.pressed && c.need > p.Burst {
 		// One request takes more than the burst: what readings say is unused may be used.
@@ -513,6 +528,7 @@
 func (g *Gateway) meter(now time.Duration, c *customer, share float64) {
 	g.advance(now, c)
 	use := share * c.plan.Quota
+	found := !c.metered && g.thin(c) && use > c.plan.Quota
 	fresh := !c.metered || use != c.reading || now-c.averaged >= g.cfg.MeterPeriod
 	c.metered, c.reading, c.readAt = true, use, now
 	if !fresh || now-c.averaged < g.cfg.MeterPeriod/2 {
@@ -520,6 +536,13 @@
 	}
 	c.averaged = now
 	c.avgUse += alpha * (use - c.avgUse)
+	if found {
+		// Met for the first time beyond its quota: its store has emptied unseen, and that took
+		// as many periods as the burst lasts.
+		c.store = 0
+		c.settle(c.plan.Burst / c.plan.Quota / g.cfg.MeterPeriod.Seconds())
+		return
+	}
 	c.settle(1)
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -514,6 +514,36 @@
 	}
 }
 
+// One of a hundred and sixty gateways meets a customer now and then, a few requests at a time. Its
+// part of the burst holds none of them, so what the meter tells has to let them in or keep them
+// out: at the first reading too, for the use beyond a quota has begun before this gateway saw it.
+func TestAThinSplitIsDecidedByTheMeter(t *testing.T) {
+	for _, k := range []struct {
+		use, overCost float64
+		least, most   int // of twenty tries after the first
+	}{
+		{use: 0.3, overCost: 0.5, least: 10, most: 20}, // 20 units of its own in 4 s against 10 a second
+		{use: 2, overCost: 0.5, least: 0, most: 8},
+		{use: 0.3, overCost: 1.2, least: 0, most: 4}, // an error costs more than a success earns
+	} {
+		cfg := config()
+		cfg.Gateways, cfg.Plans[0].OverCost = 160, k.overCost
+		f := start(cfg, 9)
+		f.until(5 * time.Second)
+		for id := RequestID(1); id <= 21; id++ {
+			f.until(f.now + 200*ms)
+			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, Left: time.Second, Units: 2, Width: 160})
+			if n := len(f.sent); n > 0 && f.sent[n-1].id == id {
+				f.finish(id, OK, k.use)
+			}
+		}
+		if n := len(f.sent) - 1; n < k.least || n > k.most {
+			t.Errorf("%d of 20 tries sent at a use of %v of the quota and a cost beyond it of %v, want %d to %d",
+				n, k.use, k.overCost, k.least, k.most)
+		}
+	}
+}
+
 // A server that fails part of its work fast draws requests, and each of eighty gateways meets it
 // seldom: one failure is enough to leave it alone for a second, and what must not run twice is
 // not what it is then tried with.
