Use no news of discovery that names no servers or is not whole

Seen by reading and with a test registry: an answer {"version":8} or {"full":true} or {} for the whole list is taken for one. The first two forms without servers leave the module with none (absent from a whole list means removed), and every request is then refused; the third passes as a list from that address, so that the watch goes on from version 0 with what may be an old list. A head without end may take 10 MB.

At fault: list() and follow() used whatever json could read; the transport had the standard library's bound on heads.

Design: news without a list of servers, and a whole list that is not marked full, are errors; the last list goes on, and the whole is asked for again after a pause. "servers": [] is obeyed. Heads are bound to 16 KiB, like those of listing servers.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -29,6 +29,15 @@
 	Servers []instance
 }
 
+// usable says why news can't be used. What names no servers at all, not even none, would leave an
+// edge node without any if it were taken for a whole list.
+func (r *roster) usable() error {
+	if r.Servers == nil {
+		return errors.New("it names no servers")
+	}
+	return nil
+}
+
 type instance struct {
 	ID, Addr, Zone, State string
 	Cell                  int
@@ -106,7 +115,8 @@
 		pacing: pace, silence: watchSilence, loop: l,
 		names: map[string]decide.ServerID{}, ids: map[decide.ServerID]string{},
 		listed: make(chan struct{}), restart: func() {},
-		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1}},
+		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1,
+			MaxResponseHeaderBytes: maxHead}},
 	}
 }
 
@@ -204,7 +214,11 @@
 			continue
 		}
 		var change roster
-		if err := json.Unmarshal(lines.Bytes(), &change); err != nil {
+		err := json.Unmarshal(lines.Bytes(), &change)
+		if err == nil {
+			err = change.usable()
+		}
+		if err != nil {
 			d.heldFrom = "" // what it changed is not known
 			return true, fmt.Errorf("a change: %w", err)
 		}
@@ -227,6 +241,12 @@
 	if err := json.NewDecoder(io.LimitReader(body, maxLine)).Decode(&list); err != nil {
 		return fmt.Errorf("the list: %w", err)
 	}
+	if err := list.usable(); err != nil {
+		return fmt.Errorf("the list: %w", err)
+	}
+	if !list.Full {
+		return errors.New("the list: it is not a whole one")
+	}
 	d.tell(ctx, base, list)
 	return ctx.Err()
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -732,6 +733,47 @@
 	waitFor(t, "the end of discovery", ended)
 }
 
+// What discovery says and can't be used must not cost the list that is held: its servers go on.
+func TestUnusableNewsLeavesTheListHeld(t *testing.T) {
+	whole := `{"version":7,"full":true,"servers":[` + line("a", "127.0.0.1:1", "up", 0) + `]}`
+	for _, bad := range []string{
+		`{"version":8,"full":true}`, `{"version":8,"full":true,"servers":null}`, `{}`, `null`, `[]`, `{"version":-1}`,
+		`{"version":8,"full":true,"servers":[{"id":"a","started_ms":1e300}]}`, `not JSON`,
+	} {
+		var lists atomic.Int32
+		again := make(chan struct{})
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if q.URL.Query().Get("watch") != "" {
+				io.WriteString(w, bad+"\n")
+				return
+			}
+			switch lists.Add(1) {
+			case 1:
+				io.WriteString(w, whole)
+			case 2:
+				io.WriteString(w, bad)
+			case 3:
+				close(again)
+			}
+		}))
+		l := &loop{rosters: make(chan rosterNews, 16), done: make(chan struct{})}
+		d := newDiscovery(s.Listener.Addr().String(), nil, l, paceOf(&wire.Settings{}), 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { d.run(ctx); close(ended) }()
+		waitFor(t, "a third call for the list", again)
+		cancel()
+		waitFor(t, "the end of discovery", ended)
+		s.Close()
+		if n := len(l.rosters); n != 1 {
+			t.Errorf("%s: %d pieces of news", bad, n)
+		}
+		if n := <-l.rosters; len(n.servers) != 1 || len(d.names) != 1 {
+			t.Errorf("%s: first %+v, then names %v", bad, n, d.names)
+		}
+	}
+}
+
 // paced follows a discovery of the kind given, as node n of a fleet, and holds a list.
 func paced(kind string, nodes, n int) *discovery {
 	s := wire.Settings{Discovery: kind, Balancers: nodes}
