Call a split thin below half a unit, so that fleets of eighty keep their own stores

At fault: thin() took in every split below one unit. At 0.9 of a unit the own store earns the next request within seconds, and holds customers far beyond their quota off better than readings that trail by two.

Design: thin is below half of the least request. The constant has a name now.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,6 +27,7 @@
 	forgetUse   = 0.01                   // a quiet customer below this share of its quota is forgotten
 	debtMost    = 5.0                    // seconds of its quota that the own store may lack before readings tell
 	mineLeast   = 0.6                    // usual request, over the largest: what the own store holds at least
+	thinSplit   = 0.5                    // units: half of the least request
 	meterLag    = 1.75                   // a reading trails by about this many meter periods
 	partOver    = 3.0                    // this gateway's part of the use is averaged over so many lags
 	freshFor    = 3                      // a reading counts for this many meter periods
@@ -439,12 +440,13 @@
 	return c.plan.Quota*g.cfg.MeterPeriod.Seconds() >= max(1, g.cfg.MostUnits)
 }
 
-// thin says that a split of the burst over the customer's gateways holds no request at all, in a
-// fleet so large that a gateway meets the customer now and then. A store of own units is then empty
-// after each request, whatever the customer's use: the meter has to decide alone, unless what is
-// let in beyond the quota in error costs as much as what is let in rightly earns.
+// thin says that a split of the burst over the customer's gateways holds less than half of the
+// least request, in a fleet so large that a gateway meets the customer now and then. A store of
+// own units is then empty after each request, whatever the customer's use: the meter has to
+// decide alone, unless what is let in beyond the quota in error costs as much as what is let in
+// rightly earns.
 func (g *Gateway) thin(c *customer) bool {
-	return c.plan.Burst < c.width && c.plan.OverCost < 1 && g.telling(c)
+	return c.plan.Burst/c.width < thinSplit && c.plan.OverCost < 1 && g.telling(c)
 }
 
 // mostMine is this gateway's part of the burst, and a usual request at least: in a large fleet
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -520,11 +520,13 @@
 func TestAThinSplitIsDecidedByTheMeter(t *testing.T) {
 	for _, k := range []struct {
 		use, overCost float64
+		width         int
 		least, most   int // of twenty tries after the first
 	}{
-		{use: 0.3, overCost: 0.5, least: 10, most: 20}, // 20 units of its own in 4 s against 10 a second
-		{use: 2, overCost: 0.5, least: 0, most: 8},
-		{use: 0.3, overCost: 1.2, least: 0, most: 4}, // an error costs more than a success earns
+		{use: 0.3, overCost: 0.5, width: 160, least: 10, most: 20}, // 40 units in 4 s, against 10 a second
+		{use: 2, overCost: 0.5, width: 160, least: 0, most: 8},
+		{use: 0.3, overCost: 1.2, width: 160, least: 0, most: 4}, // an error costs more than a success earns
+		{use: 0.3, overCost: 0.5, width: 35, least: 0, most: 6},  // not thin: 0.57 units
 	} {
 		cfg := config()
 		cfg.Gateways, cfg.Plans[0].OverCost = 160, k.overCost
@@ -532,14 +534,14 @@
 		f.until(5 * time.Second)
 		for id := RequestID(1); id <= 21; id++ {
 			f.until(f.now + 200*ms)
-			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, Left: time.Second, Units: 2, Width: 160})
+			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, Left: time.Second, Units: 2, Width: k.width})
 			if n := len(f.sent); n > 0 && f.sent[n-1].id == id {
 				f.finish(id, OK, k.use)
 			}
 		}
 		if n := len(f.sent) - 1; n < k.least || n > k.most {
-			t.Errorf("%d of 20 tries sent at a use of %v of the quota and a cost beyond it of %v, want %d to %d",
-				n, k.use, k.overCost, k.least, k.most)
+			t.Errorf("%d of 20 tries sent by one of %d gateways at a use of %v of the quota and a cost beyond it of %v, want %d to %d",
+				n, k.width, k.use, k.overCost, k.least, k.most)
 		}
 	}
 }
