Word the bounds on calls to discovery in one unit, and record a second soak

paceOf() converted the time to ask within to seconds and back; the figures stay the same, and so do its tests.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -75,9 +75,9 @@
 	p.shared = true
 	p.first = max(p.first, time.Duration(s.Balancers)*callEvery)
 	p.most = max(p.most, 2*p.first)
-	if within := askMargin * settings.Duration(s.Safety.AskWithinMs).Seconds(); within > 0 {
-		p.first = max(backoffFirst, min(p.first, time.Duration(within*float64(time.Second))))
-		p.most = max(backoffMost, min(p.most, time.Duration(failedAsk*within*float64(time.Second))))
+	if within := settings.Duration(askMargin * s.Safety.AskWithinMs); within > 0 {
+		p.first = max(backoffFirst, min(p.first, within))
+		p.most = max(backoffMost, min(p.most, failedAsk*within))
 	}
 	return p
 }
