End a drain only between requests, and answer all before the kill

Cause: ServeHTTP decided on Connection: close when a request came. One that came before SIGTERM and was out at a listing server that hangs was answered seconds later without it; its client sent the next request within the 10 ms until the resting connection was closed, and that one waited for its own deadline of up to 8 s (kill: at 3.7 s), or was cut by srv.Close where deadlines are short. Ruled out: the backlog and resting connections (the ids were taken seconds after the listener had ended); the time-outs of net/http (longest deadline + 5 s).

Now: - the last answer decides: it closes its connection once a drain has begun; - Gateway.EndBy lowers the deadlines of all that is open to linger + the longest deadline (3 s where it is longer, as the protocol counts); what comes later gets no more time either; - the listener ends once nothing waits in its backlog; - a connection with bytes that nobody has read is not closed as resting, silent or evicted; - the end of the drain cuts no request off.

One check changes: TestConnectionIsClosedOrReadNeverBoth wanted a resting connection closed over bytes that wait to be read, which a client that was just served cannot tell from a lost request. It now wants such a one kept, and bytes that come after that look never read.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -273,6 +274,18 @@
 	g.end(r)
 }
 
+// EndBy tells that this gateway ends at a given time: each open request gets its final answer by
+// then, also one whose client would wait longer. What is submitted later brings a time that fits.
+func (g *Gateway) EndBy(now, by time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(g.requests)) {
+		r := g.requests[id]
+		r.deadline = min(r.deadline, max(now, by))
+		if r.waiting {
+			g.act.SetTimer(r.deadline-now, timerRelease<<56|uint64(id))
+		}
+	}
+}
+
 // Timer tells that a timer has come due; one that is no longer wanted is ignored.
 func (g *Gateway) Timer(now time.Duration, token uint64) {
 	if !g.Wants(token) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -976,3 +976,16 @@
 		t.Errorf("its part of the ceiling holds %v, want %v", got, want)
 	}
 }
+
+// A gateway that ends owes what it holds an answer before it does.
+func TestWhatIsHeldAtTheEndIsAnswered(t *testing.T) {
+	f := start(config(), 3)
+	overQuota(f)
+	f.g.peakUse = 1e9
+	f.submit(2, 0, 0, 1) // held for 100 ms
+	f.g.EndBy(f.now, f.now+10*ms)
+	f.until(f.now + 20*ms)
+	if len(f.sent) != 1 || !reflect.DeepEqual(f.refused, []RequestID{2}) || len(f.g.requests) != 0 {
+		t.Errorf("%v", f.log)
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"asterusher/decide"
@@ -66,7 +67,7 @@
 	for i, p := range s.Contracts {
 		c.plans[p.Name] = i
 	}
-	c.conns.most, c.conns.open = mostConns, map[*clientConn]struct{}{}
+	c.conns.most, c.conns.open, c.conns.unread = mostConns, map[*clientConn]struct{}{}, hasUnread
 	return c
 }
 
@@ -75,9 +76,6 @@
 	if conn, ok := r.Context().Value(connKey{}).(*clientConn); ok && !conn.claim() {
 		return // closed: nobody waits for an answer
 	}
-	if s.draining.Load() || s.conns.over() > 0 {
-		w.Header()["Connection"] = []string{"close"}
-	}
 	// Of a length beside a coding net/http drops the length unseen, and what follows the last
 	// chunk may be another request. HTTP/1.0 knows no coding, and there it drops that. The
 	// protocol's clients use lengths only.
@@ -90,7 +88,7 @@
 		if !s.ready.Load() || s.draining.Load() {
 			status = http.StatusServiceUnavailable
 		}
-		answer(w, status, reply{})
+		s.answer(w, status, reply{})
 		return
 	}
 	c, status := s.parse(r, came)
@@ -174,7 +172,7 @@
 	if r.ContentLength != 0 {
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(faultWait))
 	}
-	answer(w, status, reply{})
+	s.answer(w, status, reply{})
 }
 
 // serve carries out the loop's orders up to the final answer.
@@ -187,17 +185,17 @@
 			outcome.Done = outcome.Status == decide.OK
 			s.loop.post(event{kind: eventFinished, call: c, outcome: outcome})
 			if outcome.Done {
-				answer(w, http.StatusOK, rep)
+				s.answer(w, http.StatusOK, rep)
 				return
 			}
 		case orderRefuse:
 			if o.retryAfter > 0 {
 				w.Header()["Retry-After"] = []string{strconv.FormatFloat(o.retryAfter.Seconds(), 'f', 3, 64)}
 			}
-			answer(w, http.StatusServiceUnavailable, reply{})
+			s.answer(w, http.StatusServiceUnavailable, reply{})
 			return
 		case orderFail:
-			answer(w, http.StatusBadGateway, reply{})
+			s.answer(w, http.StatusBadGateway, reply{})
 			return
 		case orderDrop:
 			return
@@ -205,9 +203,13 @@
 	}
 }
 
-// answer writes one whole answer.
-func answer(w http.ResponseWriter, status int, rep reply) {
+// answer writes one whole answer. It is the last one on its connection in a drain, also when the
+// request came before: what the client would send next might find nobody to answer it.
+func (s *clients) answer(w http.ResponseWriter, status int, rep reply) {
 	h := w.Header()
+	if s.draining.Load() || s.conns.over() > 0 {
+		h["Connection"] = []string{"close"}
+	}
 	h["Date"] = nil // costs more than it tells
 	h["Content-Type"] = rep.contentType
 	h["Content-Length"] = []string{strconv.Itoa(len(rep.body))}
@@ -347,9 +349,11 @@
 // closed is lost to its client and a second copy of what the client then sends again.
 type connLimit struct {
 	net.Listener
-	most int
-	mu   sync.Mutex
-	open map[*clientConn]struct{}
+	most      int
+	finishing atomic.Bool
+	unread    func(*clientConn) bool // hasUnread
+	mu        sync.Mutex
+	open      map[*clientConn]struct{}
 }
 
 type connState uint8
@@ -380,7 +384,7 @@
 
 // Accept returns the next connection once there is room for it.
 func (l *connLimit) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.next()
 	if err != nil {
 		return nil, err
 	}
@@ -396,6 +400,37 @@
 	return c, nil
 }
 
+// lastLook is for how long a listener that is to end waits for a connection: any that the machine
+// has accepted is there at once.
+const lastLook = 5 * time.Millisecond
+
+// next accepts a connection. Once the listener is to end, it does so when none waits any more.
+func (l *connLimit) next() (net.Conn, error) {
+	for {
+		last := l.finishing.Load()
+		if t, ok := l.Listener.(*net.TCPListener); ok && last {
+			t.SetDeadline(time.Now().Add(lastLook))
+		}
+		conn, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		if last {
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+// finish ends Accept once all connections that the machine has accepted are taken over.
+func (l *connLimit) finish() {
+	l.finishing.Store(true)
+	if t, ok := l.Listener.(*net.TCPListener); ok {
+		t.SetDeadline(time.Unix(1, 0)) // wakes the present Accept up
+	} else {
+		l.Listener.Close()
+	}
+}
+
 // over is by how many connections the limit is passed.
 func (l *connLimit) over() int {
 	l.mu.Lock()
@@ -422,12 +457,17 @@
 			}
 		}
 	}
-	c := cmp.Or(newcomer, resting)
-	if c == nil {
-		return false
+	for _, c := range []*clientConn{newcomer, resting} {
+		switch {
+		case c == nil:
+		case l.unread(c): // a request may be among it
+			c.since = now
+		default:
+			l.drop(c)
+			return true
+		}
 	}
-	l.drop(c)
-	return true
+	return false
 }
 
 // drop closes a connection; l.mu is held.
@@ -442,13 +482,49 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
-		if c.state == connResting || c.state == connSilent && now.Sub(c.since) >= silentLeast {
+		rests := c.state == connResting || c.state == connSilent && now.Sub(c.since) >= silentLeast
+		if rests && !l.unread(c) {
 			l.drop(c)
 		}
 	}
 	return len(l.open)
 }
 
+// ended tells whether a drain is over: no connection is left or, when late, none with a request.
+// From then on a connection that is left takes none.
+func (l *connLimit) ended(now time.Time, late bool) bool {
+	if l.dropResting(now) == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if !late || c.state == connBusy {
+			return false
+		}
+	}
+	for c := range l.open {
+		l.drop(c)
+	}
+	return true
+}
+
+// hasUnread tells whether the client has sent bytes that nobody has read: a connection that is
+// closed over them resets, and a request among them gets no answer.
+func hasUnread(c *clientConn) bool {
+	there := false
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		there = err == nil && n > 0
+	})
+	return err == nil && there
+}
+
 // Read tells the limit of the first bytes of a request. What comes as the connection is
 // being closed has not been read.
 func (c *clientConn) Read(p []byte) (int, error) {
--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -19,3 +19,6 @@
 
 // at is a moment of the module's time as the sockets take it.
 func (c clock) at(d time.Duration) time.Time { return c.base.Add(d - c.unix) }
+
+// when is a moment of the sockets in the module's time.
+func (c clock) when(t time.Time) time.Duration { return c.unix + t.Sub(c.base) }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -22,6 +22,7 @@
 	pool     *pool
 	timers   timers
 	now      time.Duration
+	endBy    time.Duration // all is answered by then; 0: no end is in sight
 }
 
 type eventKind uint8
@@ -30,6 +31,7 @@
 	eventSubmit eventKind = iota
 	eventFinished
 	eventClientLeft
+	eventEndBy
 )
 
 // event is news of one request.
@@ -37,6 +39,7 @@
 	kind    eventKind
 	call    *call
 	outcome decide.Outcome
+	by      time.Duration // the time by which the node ends
 }
 
 // rosterNews is discovery's news in the module's terms, with the addresses beside it.
@@ -161,6 +164,9 @@
 			}
 		}
 		c.request.ID = l.nextID
+		if l.endBy > 0 {
+			c.deadline = min(c.deadline, l.endBy)
+		}
 		c.request.Left = c.deadline - l.now
 		l.calls[c.request.ID] = c
 		l.gw.Submit(l.now, c.request)
@@ -180,6 +186,14 @@
 		}
 		l.gw.ClientLeft(l.now, c.request.ID)
 		l.end(c.request.ID, order{kind: orderDrop})
+	case eventEndBy:
+		l.endBy = e.by
+		l.gw.EndBy(l.now, e.by)
+		for _, c := range l.calls {
+			if c.deadline = min(c.deadline, e.by); c.attempt != nil && !c.attempt.over {
+				heap.Push(&l.timers, timer{due: c.deadline, attempt: c.attempt})
+			}
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,10 +18,15 @@
 
 const (
 	listWait   = 300 * time.Millisecond // for discovery's first list, before clients are let in
-	exitMargin = 100 * time.Millisecond
-	headTime   = 2200 * time.Millisecond // for a request's head, or a connection's first byte
-	idleTime   = 10 * time.Second        // between requests
-	drainTick  = 10 * time.Millisecond
+	exitMargin = 100 * time.Millisecond // for the last answers to reach their clients
+
+	// After SIGTERM the process may be killed once the longest deadline and 0.7 s have passed; the
+	// protocol counts a longer deadline as this. With lingering and exitMargin 0.1 s is left.
+	killNotBefore = 3 * time.Second
+
+	headTime  = 2200 * time.Millisecond // for a request's head, or a connection's first byte
+	idleTime  = 10 * time.Second        // between requests
+	drainTick = 10 * time.Millisecond
 )
 
 // Run serves until ctx ends, then drains: it goes on accepting for a moment, answers all
@@ -89,18 +94,23 @@
 		return fmt.Errorf("serve clients: %w", err)
 	case <-ctx.Done():
 	}
+	told := time.Now()
 	cl.draining.Store(true)
+	end := told.Add(cfg.lingerTime() + min(longest, killNotBefore))
+	l.post(event{kind: eventEndBy, by: ck.when(end)})
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve clients: %w", err)
 	case <-time.After(cfg.lingerTime()):
 	}
-	// http.Server.Shutdown would close connections whose request is just being read.
-	listener.Close()
+	// What has reached the machine is taken, so the listener ends only once nothing waits there.
+	cl.conns.finish()
 	<-served
+	listener.Close()
+	// http.Server.Shutdown would close connections whose request is just being read.
 	tick := time.NewTicker(drainTick)
 	defer tick.Stop()
-	for end := time.Now().Add(longest + exitMargin); cl.conns.dropResting(time.Now()) > 0 && time.Now().Before(end); {
+	for !cl.conns.ended(time.Now(), time.Now().After(end.Add(exitMargin))) {
 		<-tick.C
 	}
 	return srv.Close()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -328,7 +329,7 @@
 		t.Fatal(err)
 	}
 	defer inner.Close()
-	l := &connLimit{Listener: inner, most: 100, open: map[*clientConn]struct{}{}}
+	l := &connLimit{Listener: inner, most: 100, open: map[*clientConn]struct{}{}, unread: hasUnread}
 	accept := func() (*clientConn, net.Conn) {
 		t.Helper()
 		client, err := net.Dial("tcp", inner.Addr().String())
@@ -359,13 +360,30 @@
 		t.Error("closed though a request is being read")
 	}
 
+	// Bytes that wait to be read keep a connection; such as come after that look do not.
 	closed, client := accept()
 	closed.claim()
 	l.follow(closed, http.StateIdle)
-	io.WriteString(client, "GET")
+	io.WriteString(client, "G")
+	until(t, "the bytes", func() bool { return hasUnread(closed) })
+	if l.evict(late) || l.dropResting(late) != 2 {
+		t.Error("closed though a request waits to be read")
+	}
+	if n, err := closed.Read(one); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	closed.claim()
+	l.follow(closed, http.StateIdle)
+	l.unread = func(c *clientConn) bool {
+		there := hasUnread(c)
+		io.WriteString(client, "GET")
+		until(t, "the bytes", func() bool { return hasUnread(c) })
+		return there
+	}
 	if !l.evict(late) || closed.claim() {
 		t.Error("not closed though it rests")
 	}
+	l.unread = hasUnread
 	if n, err := closed.Read(one); n != 0 || err == nil {
 		t.Errorf("read %d bytes after the close, %v", n, err)
 	}
@@ -376,7 +394,7 @@
 	l.follow(resting, http.StateIdle)
 	head, client := accept()
 	io.WriteString(client, "GET")
-	if _, err := head.Read(one); err != nil {
+	if _, err := head.Read(make([]byte, 3)); err != nil {
 		t.Fatal(err)
 	}
 	silent, _ := accept()
@@ -868,12 +886,114 @@
 		t.Errorf("the idle connection: %v", err)
 	}
 	close(release)
-	if a := <-out; a.status != 200 || a.body != "ok" {
+	if a := <-out; a.status != 200 || a.body != "ok" || !a.close { // what its client sent next found no answer
 		t.Errorf("what was out: %+v", a)
 	}
 	n.wantEnd()
 }
 
+// Guards rule 1 in a drain: what the machine has accepted is taken over before the listener ends.
+func TestTheBacklogIsTakenBeforeTheListenerEnds(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	l := &connLimit{Listener: inner, most: 100, open: map[*clientConn]struct{}{}, unread: hasUnread}
+	for range 20 {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	l.finish()
+	for i := range 20 {
+		if _, err := l.Accept(); err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+	}
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("then %v", err)
+	}
+}
+
+// Guards rule 1 in a drain: its end cuts no request off, and a head that is whole only then is
+// not taken.
+func TestADrainEndsBetweenRequests(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	l := &connLimit{Listener: inner, most: 100, open: map[*clientConn]struct{}{}, unread: hasUnread}
+	client, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := conn.(*clientConn)
+	io.WriteString(client, "GET")
+	if _, err := c.Read(make([]byte, 9)); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	if l.ended(now, false) {
+		t.Error("it ended while a head was half read")
+	}
+	if !c.claim() || l.ended(now, true) {
+		t.Error("it ended over a request")
+	}
+	c.state = connHead
+	if !l.ended(now, true) || c.claim() {
+		t.Error("a request was taken after the end")
+	}
+}
+
+// Guards rule 1 in a drain: the process may be killed long before the longest deadline, so what is
+// out then gets its answer before, and so does what comes late on a connection that still stands.
+func TestAllIsAnsweredBeforeTheKill(t *testing.T) {
+	cfg := testConfig(t, "")
+	l := newLoop(newClock(), moduleConfig(cfg, 1), newPool(cfg))
+	l.now = l.clock.now()
+	l.gw.Start(l.now)
+	l.roster(rosterNews{kind: decide.RosterFull, servers: []decide.Server{{ID: 1, Weight: 1, State: decide.Ready}},
+		addrs: []string{"127.0.0.1:1"}})
+	submit := func(class int) *call {
+		c := &call{request: decide.Request{Class: class, Units: 1, Width: 1}, deadline: l.clock.now() + 8*time.Second,
+			orders: make(chan order, 2)}
+		l.play(event{kind: eventSubmit, call: c})
+		return c
+	}
+	out := submit(2)
+	if o := <-out.orders; o.kind != orderSend {
+		t.Fatalf("%+v", o)
+	}
+	by := l.now + time.Second
+	l.play(event{kind: eventEndBy, by: by})
+	l.clock.unix += time.Second / 2
+	l.fire()
+	if out.attempt.aborted {
+		t.Error("cut off before its time")
+	}
+	l.clock.unix += time.Second
+	l.fire()
+	if !out.attempt.aborted {
+		t.Fatal("it is still out")
+	}
+	l.play(event{kind: eventFinished, call: out, outcome: decide.Outcome{Server: 1, Status: decide.TimedOut}})
+	if o := <-out.orders; o.kind != orderFail {
+		t.Errorf("%+v", o)
+	}
+	if o := <-submit(2).orders; o.kind != orderRefuse {
+		t.Errorf("what came late: %+v", o)
+	}
+}
+
 // Guards rule 2: a keyed request may go again only while its repeats are dropped, counted
 // up to the byte that a dial may delay.
 func TestRepeatsAllowForADial(t *testing.T) {
