Send nothing on for a client that left while its request waited or dialled

Now: an attempt of which nothing has gone out ends with its client, whatever the settings allow, for no server has heard of it; one that has reached its server goes on as before. The watch reads on, up to 4 KiB (net/http's own buffer once more; one that sends more behind an open request is closed). A client that has gone is looked for before its request is taken. What has no answer is cut off.

Ruled out: the module. It forgets a leaver's holds, waits and further attempts already; a test now says so with and without Cancel. Pipelined requests are answered in turn, byte for byte, as before.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -989,3 +989,38 @@
 		t.Errorf("%v", f.log)
 	}
 }
+
+// A request whose client has left is not sent on, however it waited: held, for a server with room,
+// or between two attempts; whether or not attempts may be cancelled.
+func TestALeaverIsNotSentOn(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		cfg := config()
+		cfg.Cancel = cancel
+		left := func(what string, f *fake, id RequestID, sent int) {
+			t.Helper()
+			f.g.ClientLeft(f.now, id)
+			if f.until(f.now + 5*time.Second); len(f.sent) != sent || len(f.refused)+len(f.failed) != 0 || len(f.g.requests) != 0 {
+				t.Errorf("%s, cancel %v: %v", what, cancel, f.log)
+			}
+		}
+		f := start(cfg, 3)
+		overQuota(f)
+		f.g.peakUse = 1e9
+		f.submit(2, 0, 0, 1)
+		left("held", f, 2, 1)
+
+		f = start(cfg, 3)
+		f.g.restUntil = 100 * ms
+		f.submit(1, 0, 0, 1)
+		left("waiting for a server", f, 1, 0)
+
+		f = start(cfg, 3)
+		f.submit(1, 0, 0, 1)
+		f.g.ClientLeft(f.now, 1)
+		f.g.Finished(f.now, Outcome{ID: 1, Server: f.sent[0].to, Status: Full, Done: true})
+		left("between attempts", f, 1, 1)
+		if len(f.g.strays) != 0 || f.g.outUnits != 0 {
+			t.Errorf("%d strays, %v units out", len(f.g.strays), f.g.outUnits)
+		}
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -73,8 +73,9 @@
 
 func (s *clients) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := s.clock.now()
-	if conn, ok := r.Context().Value(connKey{}).(*clientConn); ok && !conn.claim() {
-		return // closed: nobody waits for an answer
+	conn, _ := r.Context().Value(connKey{}).(*clientConn)
+	if conn != nil && !conn.claim() {
+		panic(http.ErrAbortHandler) // closed: nobody waits for an answer
 	}
 	// Of a length beside a coding net/http drops the length unseen, and what follows the last
 	// chunk may be another request. HTTP/1.0 knows no coding, and there it drops that. The
@@ -101,6 +102,9 @@
 		s.fault(w, r, status)
 		return
 	}
+	if conn != nil && hasGone(conn) {
+		panic(http.ErrAbortHandler) // it waited to be read for longer than its client cared to
+	}
 	id := r.Header["Req-Id"][0]
 	if !s.begin(id) {
 		s.fault(w, r, http.StatusConflict)
@@ -198,7 +202,9 @@
 			s.answer(w, http.StatusBadGateway, reply{})
 			return
 		case orderDrop:
-			return
+			// An end without an answer: net/http would make up an empty one, and a client that has
+			// only ended its sending would take that for a server's.
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
@@ -373,8 +379,17 @@
 	made  time.Time
 	state connState // these two are the limit's
 	since time.Time
+
+	ahead  []byte       // read while a request was open, and not yet passed on; its reader's
+	behind atomic.Int32 // how much that is
 }
 
+// aheadMost bounds what is read ahead on a connection. The protocol's clients send one request at a
+// time; a few short ones fit, and as much again waits in net/http's own buffer.
+const aheadMost = 4 << 10
+
+var errAhead = errors.New("too much was sent behind an open request")
+
 const (
 	restLeast   = 2 * time.Second        // a connection between requests is left alone for so long
 	headLeast   = time.Second            // one that has sent part of a head, for so long
@@ -509,27 +524,53 @@
 	return true
 }
 
-// hasUnread tells whether the client has sent bytes that nobody has read: a connection that is
-// closed over them resets, and a request among them gets no answer.
-func hasUnread(c *clientConn) bool {
-	there := false
+// peek looks at what the client has sent that nobody has read: how many bytes (one at most are
+// counted), or none and no error where it has closed the connection.
+func (c *clientConn) peek() (n int, err error) {
 	raw, err := c.TCPConn.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	err = raw.Control(func(fd uintptr) {
+	if fault := raw.Control(func(fd uintptr) {
 		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		there = err == nil && n > 0
-	})
-	return err == nil && there
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); fault != nil {
+		return 0, fault
+	}
+	return n, err
+}
+
+// hasGone tells whether the client has closed the connection, with nothing unread before that.
+func hasGone(c *clientConn) bool {
+	n, err := c.peek()
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
+// hasUnread tells whether the client has sent bytes that nobody has read: a connection that is
+// closed over them resets, and a request among them gets no answer.
+func hasUnread(c *clientConn) bool {
+	if c.behind.Load() > 0 {
+		return true
+	}
+	n, err := c.peek()
+	return err == nil && n > 0
 }
 
 // Read tells the limit of the first bytes of a request. What comes as the connection is
 // being closed has not been read.
+//
+// net/http reads one byte while a request is open, to see the client leave, and through a larger
+// buffer otherwise. It gives that watch up at the first byte, so a client that sends something
+// behind its request could not be seen to leave: here that read goes on.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n == 0 {
+	if len(p) == 1 {
+		return 0, c.watch()
+	}
+	n, err := copy(p, c.ahead), error(nil)
+	if n > 0 {
+		c.ahead = append(c.ahead[:0], c.ahead[n:]...)
+		c.behind.Store(int32(len(c.ahead)))
+	} else if n, err = c.TCPConn.Read(p); n == 0 {
 		return n, err
 	}
 	c.limit.mu.Lock()
@@ -545,6 +586,20 @@
 	return n, err
 }
 
+// watch reads ahead until net/http ends that with a deadline, or the client leaves or sends too much.
+func (c *clientConn) watch() error {
+	var part [512]byte
+	for len(c.ahead) <= aheadMost {
+		n, err := c.TCPConn.Read(part[:])
+		c.ahead = append(c.ahead, part[:n]...)
+		c.behind.Store(int32(len(c.ahead)))
+		if err != nil {
+			return err
+		}
+	}
+	return errAhead
+}
+
 // Close frees the connection's place.
 func (c *clientConn) Close() error {
 	c.limit.mu.Lock()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,8 +26,12 @@
 	Known    roster
 	Settings wire.Settings
 
-	path   string        // of the file
-	linger time.Duration // how long new connections come after SIGTERM; 0: the usual
+	path string // of the file
+
+	// Hooks of the tests.
+	linger time.Duration  // how long new connections come after SIGTERM; 0: the usual
+	dial   dialer         // to app servers; nil: the usual
+	inside func(*clients) // is shown the clients' side before it serves
 }
 
 // LoadConfig reads the file that RELAY_CONFIG names. The single variables go
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -185,6 +185,9 @@
 			return
 		}
 		l.gw.ClientLeft(l.now, c.request.ID)
+		if c.attempt != nil {
+			c.attempt.abandon() // whatever the settings allow: no server has heard of it
+		}
 		l.end(c.request.ID, order{kind: orderDrop})
 	case eventEndBy:
 		l.endBy = e.by
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,9 @@
 	cl := newClients(ck, l, &cfg.Settings, most)
 	longest := cfg.longestDeadline()
 	cl.conns.Listener = listener
+	if cfg.inside != nil {
+		cfg.inside(cl)
+	}
 	srv := &http.Server{
 		Handler:           cl,
 		ConnState:         cl.conns.follow,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -83,6 +83,7 @@
 	stop   context.CancelFunc
 	ended  chan error
 	client http.Client
+	inside *clients
 }
 
 func testConfig(t testing.TB, discovery string) *Config {
@@ -116,7 +117,10 @@
 	n.client.Transport = &http.Transport{}
 	cfg := testConfig(t, r.Listener.Addr().String())
 	change(cfg)
+	inside := make(chan *clients, 1)
+	cfg.inside = func(c *clients) { inside <- c }
 	go func() { n.ended <- serve(ctx, cfg, l, nil) }()
+	n.inside = <-inside
 	t.Cleanup(func() { // before the servers' own: a node that lingers would only fill the log
 		stop()
 		n.client.CloseIdleConnections()
@@ -344,7 +348,7 @@
 		return c.(*clientConn), client
 	}
 	late := time.Now().Add(time.Hour)
-	one := make([]byte, 1)
+	one := make([]byte, 2) // one of one byte would be net/http's watch for the client
 
 	read, client := accept()
 	read.claim()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -20,6 +20,7 @@
 // pool holds the connections to app servers. Unlike http.Transport it never sends
 // a request twice, and it can tell whether one may have run.
 type pool struct {
+	dial        dialer
 	dialTimeout time.Duration
 	idleLimit   time.Duration
 	most        int64 // connections to all app servers together
@@ -28,6 +29,8 @@
 	backends    map[*backend]struct{}
 }
 
+type dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // backend is one process of an app server, at one address.
 type backend struct {
 	pool    *pool
@@ -97,8 +100,12 @@
 const sweepEvery = 2 * time.Second
 
 func newPool(cfg *Config) *pool {
-	return &pool{dialTimeout: cfg.dialTimeout(), idleLimit: cfg.idleLimit(),
+	p := &pool{dial: cfg.dial, dialTimeout: cfg.dialTimeout(), idleLimit: cfg.idleLimit(),
 		most: int64(cfg.sockets(serverShare)), backends: map[*backend]struct{}{}}
+	if p.dial == nil {
+		p.dial = new(net.Dialer).DialContext
+	}
+	return p
 }
 
 func (p *pool) backend(addr string, started time.Duration) *backend {
@@ -242,6 +249,21 @@
 func (a *attempt) abort(why decide.Status) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.stop(why)
+}
+
+// abandon ends an attempt of which nothing has gone out yet: it is ordered, or waits for its
+// connection. One that has reached its server goes on.
+func (a *attempt) abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn == nil {
+		a.stop(decide.Cancelled)
+	}
+}
+
+// stop ends an attempt; a.mu is held.
+func (a *attempt) stop(why decide.Status) {
 	if a.aborted {
 		return
 	}
@@ -274,8 +296,7 @@
 	var conn net.Conn
 	err := context.Canceled
 	if !aborted {
-		var d net.Dialer
-		conn, err = d.DialContext(ctx, "tcp", b.addr)
+		conn, err = p.dial(ctx, "tcp", b.addr)
 	}
 	a.mu.Lock()
 	a.undial = nil
