Open broken watches in time, read indented changes, refuse foreign configurations

Lists may come indented; down a watch each of their lines alone is no JSON. A configuration that was being written at SIGHUP was never read again, and another deployment's moved discovery.

Ruled out: a shorter time-out for calls to an agent.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -83,9 +83,31 @@
 	if _, _, err := net.SplitHostPort(fresh.Discovery); err != nil {
 		return nil, fmt.Errorf("%s: the address of discovery: %w", c.path, err)
 	}
+	if err := c.foreign(fresh); err != nil {
+		return nil, fmt.Errorf("%s: %w", c.path, err)
+	}
 	return fresh, nil
 }
 
+// foreign says why a configuration can't be this node's: its name stays at a restart, and settings
+// stay as they were at the start, so a list from another deployment would be served by the wrong rules.
+func (c *Config) foreign(fresh *Config) error {
+	if fresh.Name != "" && c.Name != "" && fresh.Name != c.Name {
+		return fmt.Errorf("it is the configuration of %q, not of %q", fresh.Name, c.Name)
+	}
+	for i, k := range fresh.Settings.Classes {
+		if i >= len(c.Settings.Classes) || k.Name != c.Settings.Classes[i].Name || k.Repeat != c.Settings.Classes[i].Repeat {
+			return fmt.Errorf("another deployment's: class %q", k.Name)
+		}
+	}
+	for i, p := range fresh.Settings.Contracts {
+		if i >= len(c.Settings.Contracts) || p.Name != c.Settings.Contracts[i].Name {
+			return fmt.Errorf("another deployment's: plan %q", p.Name)
+		}
+	}
+	return nil
+}
+
 func (c *Config) seed() (uint64, error) {
 	if c.Seed == "" {
 		return 0, nil
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -47,12 +47,15 @@
 
 const (
 	registryPath = "/registry/instances"
-	watchSilence = 5 * time.Second       // an empty line comes every 2 s
-	callEvery    = 75 * time.Millisecond // what a shared discovery is left for each call of the fleet
-	backoffFirst = 50 * time.Millisecond // least bound of the first pause
-	backoffMost  = time.Second           // least bound of the longest
-	askMargin    = 0.8                   // part of the time to ask within that a pause may take
-	failedAsk    = 4                     // after a call that failed, that time is so many times as long
+	watchSilence = 3500 * time.Millisecond // an empty line comes every 2 s
+	toldAfter    = 6 * time.Second         // what a broken watch misses counts as told so long after its break
+	toldMargin   = 0.8                     // part of what is left of that which a pause may take
+	graceMargin  = 0.25                    // part of the drain grace that a pause at an agent may take
+	callEvery    = 75 * time.Millisecond   // what a shared discovery is left for each call of the fleet
+	backoffFirst = 50 * time.Millisecond   // least bound of the first pause
+	backoffMost  = time.Second             // least bound of the longest
+	askMargin    = 0.8                     // part of the time to ask within that a pause may take
+	failedAsk    = 4                       // after a call that failed, that time is so many times as long
 	maxLine      = 4 << 20
 )
 
@@ -70,6 +73,11 @@
 func paceOf(s *wire.Settings) pacing {
 	p := pacing{first: backoffFirst, most: backoffMost}
 	if s.Discovery != "on_request" {
+		// What the agent gets while it is not asked counts as told at once: a pause comes out of
+		// the time in which sends to a server that drains have to stop.
+		if grace := settings.Duration(graceMargin * s.Safety.DrainGraceMs); grace > 0 {
+			p.most = min(p.most, max(p.first, grace))
+		}
 		return p
 	}
 	p.shared = true
@@ -95,9 +103,10 @@
 	names   map[string]decide.ServerID
 	ids     map[decide.ServerID]string
 
-	heldFrom string // where the list that is held came from; "": none is held
-	version  uint64 // and its version
-	trouble  string // what the last round failed with
+	heldFrom string    // where the list that is held came from; "": none is held
+	version  uint64    // and its version
+	trouble  string    // what the last round failed with
+	heardAt  time.Time // when the last line came
 
 	listed chan struct{} // closed when discovery has first answered
 	once   sync.Once
@@ -168,11 +177,21 @@
 			d.trouble = err.Error() // once, not at each attempt
 			log.Printf("discovery: %v", err)
 		}
-		pause = d.pause(wait)
+		bound := wait
+		if heard {
+			bound = d.afterBreak(time.Since(d.heardAt))
+		}
+		pause = d.pause(bound)
 		wait = min(2*wait, d.most)
 	}
 }
 
+// afterBreak bounds the pause after a watch that broke so long after its last line.
+func (d *discovery) afterBreak(quiet time.Duration) time.Duration {
+	left := time.Duration(toldMargin * float64(toldAfter-quiet))
+	return min(d.first, max(backoffFirst, left))
+}
+
 // firstPause comes before the first call: only a node that holds a list can wait its turn.
 func (d *discovery) firstPause() time.Duration {
 	if d.heldFrom == "" || !d.shared {
@@ -208,13 +227,15 @@
 	defer body.Close()
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLine)
+	var next object
 	for lines.Scan() {
 		alive.Reset(d.silence)
-		if len(lines.Bytes()) == 0 {
+		d.heardAt = time.Now()
+		if len(lines.Bytes()) == 0 && len(next.text) == 0 || !next.add(lines.Bytes(), maxLine) {
 			continue
 		}
 		var change roster
-		err := json.Unmarshal(lines.Bytes(), &change)
+		err := json.Unmarshal(next.take(), &change)
 		if err == nil {
 			err = change.usable()
 		}
@@ -224,8 +245,8 @@
 		}
 		d.tell(ctx, base, change)
 	}
-	if errors.Is(lines.Err(), bufio.ErrTooLong) {
-		d.heldFrom = ""
+	if errors.Is(lines.Err(), bufio.ErrTooLong) || len(next.text) > 0 {
+		d.heldFrom = "" // a change has come in part
 	}
 	return true, lines.Err()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,18 +119,36 @@
 	return srv.Close()
 }
 
+// A file that can't be read may be one that is just being written: it is looked at again for so
+// long. What discovery says at the new address counts as told 4 s after the signal.
+const (
+	rereadEvery = 100 * time.Millisecond
+	rereadMost  = 20
+)
+
 // follow takes over the address of discovery from each new configuration, until stop is
 // closed. Limits and settings stay as they were at the start.
 func follow(cfg *Config, d *discovery, reload <-chan os.Signal, stop <-chan struct{}) {
+	var again <-chan time.Time
+	tries := 0
 	for {
 		select {
 		case <-stop:
 			return
 		case <-reload:
+			tries = 0
+		case <-again:
+			tries++
 		}
+		again = nil
 		fresh, err := cfg.reread()
 		if err != nil {
-			log.Printf("the old configuration stays: %v", err)
+			if tries == 0 {
+				log.Printf("the old configuration stays: %v", err)
+			}
+			if tries < rereadMost {
+				again = time.After(rereadEvery)
+			}
 			continue
 		}
 		log.Printf("new configuration: discovery at %s", fresh.Discovery)
