Let connections rest after an answer, and force the crossings of a drain and a dial

Seen by reading: a connection went back to the pool with the answer's last byte and could carry the next request before a second copy of that answer came ("some milliseconds late"); `stale` looks before the request is written, and nothing tells whose an answer is. The client would get another's. A test forces it: the third request was answered with "late".

Added over sockets: SIGTERM with a request held, dialling and half read; a drain told during a dial, for each kind of class; a reset after the last byte and a refused connection, for each; an answer that crosses its time-out. These found no further fault. The drain test was seen to fail without the last look, the late answer without the rest.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -357,6 +357,7 @@
 	net.Listener
 	most      int
 	finishing atomic.Bool
+	finishBy  time.Time              // set before finishing
 	unread    func(*clientConn) bool // hasUnread
 	mu        sync.Mutex
 	open      map[*clientConn]struct{}
@@ -419,10 +420,16 @@
 // has accepted is there at once.
 const lastLook = 5 * time.Millisecond
 
+// finishMost is for how long connections that keep coming can put the listener's end off.
+const finishMost = 100 * time.Millisecond
+
 // next accepts a connection. Once the listener is to end, it does so when none waits any more.
 func (l *connLimit) next() (net.Conn, error) {
 	for {
 		last := l.finishing.Load()
+		if last && time.Now().After(l.finishBy) {
+			return nil, net.ErrClosed
+		}
 		if t, ok := l.Listener.(*net.TCPListener); ok && last {
 			t.SetDeadline(time.Now().Add(lastLook))
 		}
@@ -438,6 +445,7 @@
 
 // finish ends Accept once all connections that the machine has accepted are taken over.
 func (l *connLimit) finish() {
+	l.finishBy = time.Now().Add(finishMost)
 	l.finishing.Store(true)
 	if t, ok := l.Listener.(*net.TCPListener); ok {
 		t.SetDeadline(time.Unix(1, 0)) // wakes the present Accept up
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"asterusher/decide"
 )
 
 // The tests of this file force the instants in which something is still owed while something
@@ -229,3 +231,193 @@
 		}
 	}
 }
+
+// drained waits until the node listens no more.
+func (n *node) drained() {
+	n.t.Helper()
+	until(n.t, "the end of the listener", func() bool {
+		conn, err := net.Dial("tcp", n.addr)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+}
+
+// Guards rule 1 at SIGTERM: what waits for a server, for a connection, or for its own last bytes as
+// the listener ends is answered, as the last of its connection, and only then does the node end.
+func TestATermOwesWhatIsHeldDiallingAndHalfRead(t *testing.T) {
+	short := func(c *Config) { slowSettings(c); c.linger = time.Millisecond }
+	want := func(n *node, c *client) {
+		t.Helper()
+		if a := c.answer(); a.status != 200 || a.body != "ok" || !a.close {
+			t.Errorf("%+v", a)
+		}
+		n.wantEnd()
+	}
+	t.Run("dialling", func(t *testing.T) {
+		g := newGate()
+		n, _ := startNodeWith(t, func(c *Config) { short(c); c.dial = g.dial }, newAppServer(t, says(ok200, true)))
+		c := n.dial()
+		c.write(head("GET", "lookup", "a", "100"))
+		waitFor(t, "the dial", g.dialling)
+		n.stop()
+		n.drained()
+		close(g.open)
+		want(n, c)
+	})
+	for _, text := range []string{head("GET", "lookup", "a", "100"), head("POST", "pay", "a", "100") + "x"} {
+		for _, part := range []int{1, len(text) - 1} {
+			t.Run("half read", func(t *testing.T) {
+				n, _ := startNodeWith(t, short, newAppServer(t, says(ok200, true)))
+				c := n.dial()
+				c.write(text[:part])
+				until(t, "the first bytes", func() bool { return n.inside.conns.reading() == 1 })
+				n.stop()
+				n.drained()
+				c.write(text[part:])
+				want(n, c)
+			})
+		}
+	}
+	t.Run("held", func(t *testing.T) {
+		n, r := startNodeWith(t, func(c *Config) { short(c); c.Settings.Classes[0].AimMs = 16_000 }) // tries each 1 s
+		c := n.dial()
+		c.write(head("GET", "lookup", "a", "100"))
+		until(t, "the request", func() bool { return n.isOpen("a") })
+		n.stop()
+		n.drained()
+		s := newAppServer(t, says(ok200, true))
+		watch := <-r.watches
+		watch <- `{"version":2,"full":true,"servers":[` + line("s", s.Addr().String(), "up", 0) + `]}`
+		want(n, c)
+	})
+}
+
+// reading counts the connections on which a request has begun.
+func (l *connLimit) reading() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for c := range l.open {
+		if c.state == connHead || c.state == connBusy {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards rule 3: a drain told while a dial waits. When its connection comes up nothing goes out on it;
+// the request goes to a server that is up, for it has run nowhere.
+func TestADrainToldDuringADial(t *testing.T) {
+	for _, class := range []string{"lookup", "add", "pay"} {
+		old, fresh, g := newAppServer(t, says(ok200, true)), newAppServer(t, says(ok200, true)), newGate()
+		n, r := startNodeWith(t, func(c *Config) {
+			slowSettings(c)
+			c.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if addr == fresh.Addr().String() {
+					return net.Dial(network, addr)
+				}
+				return g.dial(ctx, network, addr)
+			}
+		}, old)
+		method, body := "POST", "x"
+		if class == "lookup" {
+			method, body = "GET", ""
+		}
+		c := n.dial()
+		c.write(head(method, class, "a", "100") + body)
+		waitFor(t, "the dial", g.dialling)
+		watch := <-r.watches
+		watch <- `{"version":2,"full":false,"servers":[` + line("s-0", old.Addr().String(), "draining", 0) + `,` +
+			line("s-1", fresh.Addr().String(), "up", 0) + `]}`
+		asks := 0
+		until(t, "the new list", func() bool { // one that still goes to the old server gets no connection
+			asks++
+			c := n.dial()
+			defer c.Close()
+			c.write(head("GET", "lookup", fmt.Sprint("ask", asks), "100"))
+			c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+			return c.answer().status == 200
+		})
+		before := fresh.requests.Load()
+		close(g.open)
+		if a := c.answer(); a.status != 200 || old.requests.Load() != 0 || fresh.requests.Load() != before+1 {
+			t.Errorf("%s: %+v; %d to the draining one, %d to the other", class, a, old.requests.Load(), fresh.requests.Load()-before)
+		}
+	}
+}
+
+// Guards rule 2: a connection that breaks once the request is whole may have run it. What is safe, or
+// keyed in the same zone, goes elsewhere; the rest fails and never runs twice. One that breaks before
+// runs nowhere, and every class goes elsewhere.
+func TestAResetIsRepeatedOnlyWhereItMay(t *testing.T) {
+	for _, class := range []string{"lookup", "add", "pay"} {
+		for _, whole := range []bool{true, false} {
+			reset := newAppServer(t, func(c net.Conn, r *http.Request) bool {
+				io.Copy(io.Discard, r.Body)
+				c.(*net.TCPConn).SetLinger(0)
+				return false
+			})
+			if !whole {
+				reset.stop()
+			}
+			good := newAppServer(t, says(ok200, true))
+			n, _ := startNodeWith(t, slowSettings, reset, good)
+			method, body := "POST", "x"
+			if class == "lookup" {
+				method, body = "GET", ""
+			}
+			failed := 0
+			for i := range 6 {
+				before := reset.requests.Load() + good.requests.Load()
+				c := n.dial()
+				c.write(head(method, class, fmt.Sprint(i), "100") + body)
+				a := c.answer()
+				ran := reset.requests.Load() + good.requests.Load() - before
+				switch {
+				case a.status == 200 && (ran == 1 || class != "pay"):
+				case a.status == 502 && class == "pay" && whole && ran == 1:
+					failed++
+				default:
+					t.Errorf("%s, whole %v: %+v after %d runs", class, whole, a, ran)
+				}
+			}
+			if whole && reset.requests.Load() == 0 {
+				t.Errorf("%s: the server that resets was never tried", class)
+			}
+			if want := int(reset.requests.Load()); class == "pay" && failed != want {
+				t.Errorf("%d failed, want %d", failed, want)
+			}
+		}
+	}
+}
+
+// An answer that comes once its time is up is nobody's: its connection ends, and the next request
+// gets its own.
+func TestAnAnswerThatCrossesItsTimeOut(t *testing.T) {
+	asked, release := make(chan struct{}, 10), make(chan struct{})
+	s := newAppServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Req-Id") == "late" {
+			asked <- struct{}{}
+			<-release
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+			return true
+		}
+		return says(ok200, true)(c, r)
+	})
+	b := testBackend(t, s.Addr().String())
+	a, out := testAttempt(b, limit), testRequest()
+	out.Header["Req-Id"] = []string{"late"}
+	told := make(chan decide.Outcome, 1)
+	go func() { o, _ := a.do(out); told <- o }()
+	waitFor(t, "the attempt", asked)
+	a.abort(decide.TimedOut)
+	close(release)
+	if o := <-told; o.Status != decide.TimedOut {
+		t.Errorf("%+v", o)
+	}
+	if o, rep := testAttempt(b, limit).do(testRequest()); o.Status != decide.OK || string(rep.body) != "ok" {
+		t.Errorf("then %+v, %q", o, rep.body)
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -912,6 +912,7 @@
 		defer conn.Close()
 	}
 	l.finish()
+	l.finishBy = time.Now().Add(limit) // on a slow machine too
 	for i := range 20 {
 		if _, err := l.Accept(); err != nil {
 			t.Fatalf("connection %d: %v", i, err)
@@ -920,6 +921,15 @@
 	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("then %v", err)
 	}
+	l.finishBy = time.Now().Add(-time.Second) // one that keeps coming does not put the end off for ever
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("past its time: %v", err)
+	}
 }
 
 // Guards rule 1 in a drain: its end cuts no request off, and a head that is whole only then is
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,7 +24,8 @@
 	dial        dialer
 	dialTimeout time.Duration
 	idleLimit   time.Duration
-	most        int64 // connections to all app servers together
+	rest        time.Duration // a connection is left alone for so long after an answer
+	most        int64         // connections to all app servers together
 	open        atomic.Int64
 	mu          sync.Mutex
 	backends    map[*backend]struct{}
@@ -99,8 +101,14 @@
 
 const sweepEvery = 2 * time.Second
 
+// answerRest is for how long a connection is left alone after an answer. Some come twice, the second
+// time some milliseconds late, and nothing tells whose an answer is. On a connection that has rested it
+// shows as bytes that nobody asked for; on one that was used again at once it would be taken for the
+// next one's. A longer rest costs handshakes.
+const answerRest = 20 * time.Millisecond
+
 func newPool(cfg *Config) *pool {
-	p := &pool{dial: cfg.dial, dialTimeout: cfg.dialTimeout(), idleLimit: cfg.idleLimit(),
+	p := &pool{dial: cfg.dial, dialTimeout: cfg.dialTimeout(), idleLimit: cfg.idleLimit(), rest: answerRest,
 		most: int64(cfg.sockets(serverShare)), backends: map[*backend]struct{}{}}
 	if p.dial == nil {
 		p.dial = new(net.Dialer).DialContext
@@ -199,20 +207,24 @@
 	b.pool.mu.Unlock()
 }
 
-// take returns an idle connection that still stands, the last used first, or nil.
-func (b *backend) take() *upstream {
+// take returns an idle connection that still stands and has rested for long enough, the last used
+// first, or nil.
+func (b *backend) take(rest time.Duration) *upstream {
 	for {
+		now := time.Now()
 		b.mu.Lock()
-		n := len(b.idle)
-		if n == 0 {
+		n := len(b.idle) - 1 // the longest idle is the first
+		for n >= 0 && now.Sub(b.idle[n].idleSince) < rest {
+			n--
+		}
+		if n < 0 {
 			b.mu.Unlock()
 			return nil
 		}
-		u := b.idle[n-1]
-		b.idle[n-1] = nil
-		b.idle = b.idle[:n-1]
+		u := b.idle[n]
+		b.idle = slices.Delete(b.idle, n, n+1)
 		b.mu.Unlock()
-		if time.Since(u.idleSince) <= b.pool.idleLimit && !u.stale() {
+		if now.Sub(u.idleSince) <= b.pool.idleLimit && !u.stale() {
 			return u
 		}
 		b.pool.discard(u)
@@ -279,10 +291,10 @@
 // connect finds or opens a connection.
 func (a *attempt) connect() (*upstream, decide.Status) {
 	b := a.backend
-	if u := b.take(); u != nil {
+	p := b.pool
+	if u := b.take(p.rest); u != nil {
 		return u, decide.OK
 	}
-	p := b.pool
 	if p.open.Add(1) > p.most {
 		p.open.Add(-1)
 		return nil, decide.Moot // the node's own limit: not the server's fault
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -103,7 +103,9 @@
 
 func testBackend(t *testing.T, addr string) *backend {
 	t.Helper()
-	b := newPool(&Config{}).backend(addr, 0)
+	p := newPool(&Config{})
+	p.rest = 0
+	b := p.backend(addr, 0)
 	b.setUp(true)
 	t.Cleanup(func() { b.close(true) })
 	return b
@@ -341,3 +343,35 @@
 		t.Errorf("got  %s\nwant %s", g, want)
 	}
 }
+
+// Guards rule 1: a second answer that comes late must not be taken for the next request's. Its
+// connection rests, and by then the bytes have come, or it is used again.
+func TestALateSecondAnswerIsNobodyElses(t *testing.T) {
+	var mu sync.Mutex
+	var first net.Conn
+	s := newAppServer(t, func(c net.Conn, r *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if first == nil {
+			first = c
+		} else {
+			io.WriteString(first, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		}
+		io.WriteString(c, ok200)
+		return true
+	})
+	b := testBackend(t, s.Addr().String())
+	b.pool.rest = time.Hour
+	for range 3 {
+		if o, rep := testAttempt(b, limit).do(testRequest()); o.Status != decide.OK || string(rep.body) != "ok" {
+			t.Errorf("%+v, %q", o, rep.body)
+		}
+	}
+	until(t, "the late answer", b.idle[0].stale)
+	b.pool.rest = 0
+	testAttempt(b, limit).do(testRequest())
+	testAttempt(b, limit).do(testRequest())
+	if s.conns.Load() != 3 {
+		t.Errorf("%d connections: rested ones are not used again", s.conns.Load())
+	}
+}
