Refuse risky first requests of unknown customers where a split holds none

Of 5,952 units of `standard` sent on beyond quotas, 4,356 were first requests where the gateway knew nothing; for `utvidet` 996 of 1,564. By size of a first request of `standard`, of one to four units 5, 15, 21 and 25% were beyond, for the other plans alike; in the strict variant 8, 23, 29 and 36%.

Ruled out: readings. A gateway that has met a customer of a small plan and read less than its quota refuses requests of which 82% have room, as many as of first requests: letting these in instead gains nothing. Refusing all sizes alike trades served for price one to one.

To blame: beyond() passed a first request of any size, for `local` starts with the whole burst.

Now, where a split of the burst holds no request and overuse costs more than half of what a request earns, units x cost x one draw for each customer and gateway may be 0.35 of the largest request at most.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,8 @@
 	debtMost    = 5.0                    // seconds of its quota that the own store may lack before readings tell
 	mineLeast   = 0.6                    // usual request, over the largest: what the own store holds at least
 	thinSplit   = 0.5                    // units: half of the least request
+	riskMost    = 0.35                   // most units at risk on an unknown customer, over the largest request
+	riskCost    = 0.5                    // cheaper overuse is let pass: two in three are inside, and earn far more
 	meterLag    = 1.75                   // a reading trails by about this many meter periods
 	partOver    = 3.0                    // this gateway's part of the use is averaged over so many lags
 	freshFor    = 3                      // a reading counts for this many meter periods
@@ -88,6 +90,7 @@
 	local     float64 // quota left by own units over this gateway's part of the use
 	ceiling   float64 // this gateway's part of the ceiling's store
 	refuse    float64 // refuseChance, the design's p
+	chance    float64 // what was last drawn for a request that nothing told of
 	own       float64 // units sent from here, a sum that fades over the meter's lag
 	ownSlow   float64 // the same late and over longer, and what the meter told meanwhile:
 	useSlow   float64 // their ratio is this gateway's part of the use
@@ -436,7 +439,7 @@
 	}
 	switch {
 	case !c.metered || !g.telling(c):
-		if c.local < r.Units {
+		if c.local < r.Units || g.risky(c, r) {
 			return true
 		}
 	case !g.thin(c):
@@ -462,6 +465,29 @@
 	return c.plan.Burst/c.width < thinSplit && c.plan.OverCost < 1 && g.telling(c)
 }
 
+// risky says that a request of a customer of whom nothing tells would risk more than riskMost. Where
+// a split of the burst holds no request, the first one at each gateway passes, and over a large set
+// these are all that a greedy customer needs. The larger a request, the less likely its store holds it
+// (counted on calm days of the full fleet: of requests of one unit a twentieth is beyond, of four a
+// quarter), and the more it costs. Where readings will tell, the next try passes and is told; where they
+// never do, what each gateway has drawn for a customer stays, for one that asks again and again would
+// else get through everywhere.
+func (g *Gateway) risky(c *customer, r *request) bool {
+	if c.plan.Burst/c.width >= thinSplit || c.plan.OverCost <= riskCost {
+		return false
+	}
+	if c.chance == 0 {
+		c.chance = g.rng.Float64()
+	}
+	if r.Units*c.plan.OverCost*c.chance <= riskMost*g.cfg.MostUnits {
+		return false
+	}
+	if g.telling(c) {
+		c.chance = -1
+	}
+	return true
+}
+
 // mostMine is this gateway's part of the burst, and a usual request at least: in a large fleet
 // the part is less, and a debt of one request would last for a minute.
 func (g *Gateway) mostMine(c *customer) float64 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1024,3 +1024,42 @@
 		}
 	}
 }
+
+// Where a split of the burst holds no request, the first one at every gateway used to pass: a greedy
+// customer of a large set met a gateway that knew nothing of it nearly every time. Now large requests
+// pass at a part of the gateways, as their plan's cost asks, and asking again there changes nothing.
+func TestUnknownCustomersRiskLittle(t *testing.T) {
+	for _, k := range []struct {
+		width       int
+		units, cost float64
+		low, high   int // of 300 gateways, over three standard deviations off what is due
+	}{
+		{150, 1, 1.2, 300, 300}, // 1.2 at most is at risk, of 1.4
+		{150, 4, 1.2, 60, 115},  // 1.4 of 4.8
+		{150, 4, 2, 35, 75},     // 1.4 of 8
+		{150, 4, 0.5, 300, 300},
+		{150, 4, 0, 300, 300},
+		{4, 4, 2, 300, 300}, // its split of the burst tells
+	} {
+		passed, again := 0, 0
+		for n := range 300 {
+			cfg := config()
+			cfg.Gateways, cfg.Number, cfg.Seed = 300, n, uint64(n)
+			cfg.Plans = []Plan{{Quota: 2, Burst: 10, Price: 1, OverCost: k.cost}}
+			f := start(cfg, 3)
+			for id := RequestID(1); id <= 5; id++ {
+				f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 9, Left: 2 * time.Second, Units: k.units, Width: k.width})
+				if id == 1 {
+					passed += len(f.sent)
+					again -= len(f.sent)
+				}
+				if again += len(f.sent); len(f.sent) > 0 {
+					break
+				}
+			}
+		}
+		if passed < k.low || passed > k.high || again != 0 {
+			t.Errorf("%+v: passed at %d gateways, and at %d more when asked again", k, passed, again)
+		}
+	}
+}
