--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,7 +30,7 @@
 	mineLeast   = 0.6                    // usual request, over the largest: what the own store holds at least
 	thinSplit   = 0.5                    // units: half of the least request
 	riskMost    = 0.35                   // most units at risk on an unknown customer, over the largest request
-	riskCost    = 0.5                    // cheaper overuse is let pass: two in three are inside, and earn far more
+	riskCost    = 0.5                    // overuse that costs no more is let pass: most of it is inside
 	meterLag    = 1.75                   // a reading trails by about this many meter periods
 	partOver    = 3.0                    // this gateway's part of the use is averaged over so many lags
 	freshFor    = 3                      // a reading counts for this many meter periods
