Force a reset within a request, one of a watch before a drain, and foreign settings

Tests alone, over sockets; no fault was found. A connection that breaks while the request is being written never ran it, for every class (seen to fail when it counts as a reset). The watch opened after a reset tells of a drain that follows. A node with another deployment's classes, plans and order, and no zones, takes names and methods from its settings (seen to fail when the first class is the one to repeat).

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -421,3 +425,120 @@
 		t.Errorf("then %+v, %q", o, rep.body)
 	}
 }
+
+// A watch that is reset just before a drain: the list told down the next one is obeyed, and the
+// draining server gets nothing more.
+func TestAWatchResetJustBeforeADrain(t *testing.T) {
+	one, two := newAppServer(t, says(ok200, true)), newAppServer(t, says(ok200, true))
+	n, r := startNode(t, one)
+	if a := n.lookup("team"); a.status != 200 {
+		t.Fatalf("%+v", a)
+	}
+	<-r.watches
+	r.CloseClientConnections()
+	watch := <-r.watches // opened anew
+	watch <- `{"version":2,"full":false,"servers":[` + line("s-0", one.Addr().String(), "draining", 0) + `,` +
+		line("s-1", two.Addr().String(), "up", 0) + `]}`
+	waitFor(t, "the end of the idle connection", one.gone) // so the loop knows
+	for range 3 {
+		if a := n.lookup("team"); a.status != 200 {
+			t.Errorf("%+v", a)
+		}
+	}
+	if one.requests.Load() != 1 || two.requests.Load() != 3 {
+		t.Errorf("%d requests to the draining one, %d to the other", one.requests.Load(), two.requests.Load())
+	}
+}
+
+// A node run with the settings of another deployment: names, methods and order of classes and plans
+// are the settings', and those of the first one mean nothing.
+func TestSettingsOfAnotherDeployment(t *testing.T) {
+	s := newAppServer(t, func(c net.Conn, r *http.Request) bool {
+		io.Copy(io.Discard, r.Body)
+		if r.Method == "POST" { // may have run
+			return false
+		}
+		return says(ok200, true)(c, r)
+	})
+	n, _ := startNodeWith(t, func(c *Config) {
+		c.Settings.Zones = nil
+		cl, p := c.Settings.Classes, c.Settings.Contracts
+		cl[0].Name, cl[0].Repeat = "tallennus", "at_most_once"
+		cl[1].Name, cl[1].Repeat = "haku", "idempotent"
+		c.Settings.Classes = cl[:2]
+		p[0].Name = "kunta"
+		c.Settings.Contracts = p[:1]
+	}, s)
+	for _, k := range []struct {
+		method, class, plan string
+		want                int
+	}{
+		{"GET", "haku", "kunta", 200}, {"POST", "tallennus", "kunta", 502}, {"GET", "tallennus", "kunta", 405},
+		{"POST", "haku", "kunta", 405}, {"GET", "lookup", "kunta", 404}, {"GET", "haku", "team", 400},
+	} {
+		before := s.requests.Load()
+		body := ""
+		if k.method == "POST" {
+			body = "x"
+		}
+		a := n.do(n.request(k.method, "/"+k.class+customerPath, k.plan, body, "5"))
+		want := int32(1)
+		if k.want/100 == 4 {
+			want = 0
+		}
+		if ran := s.requests.Load() - before; a.status != k.want || ran != want {
+			t.Errorf("%+v: %+v after %d attempts", k, a, ran)
+		}
+	}
+}
+
+// Guards rule 2: a connection that breaks within the request never ran it, so that every class goes
+// elsewhere. Buffers far smaller than the request make sure that its last bytes are not out by then.
+func TestAResetWithinTheRequestRunsNowhere(t *testing.T) {
+	const small = 4 << 10
+	listen := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		fault := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, small) })
+		return cmp.Or(fault, err)
+	}}
+	l, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var cut atomic.Int32
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			io.ReadFull(conn, make([]byte, 100))
+			cut.Add(1)
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}()
+	for _, class := range []string{"add", "pay"} {
+		good, before := newAppServer(t, says(ok200, true)), cut.Load()
+		n, _ := startNodeWith(t, func(c *Config) {
+			slowSettings(c)
+			c.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
+				conn, err := net.Dial(network, addr)
+				if err == nil {
+					err = conn.(*net.TCPConn).SetWriteBuffer(small)
+				}
+				return conn, err
+			}
+		}, good, &appServer{Listener: l})
+		for i := range 6 {
+			r := n.request("POST", "/"+class+customerPath, "team", strings.Repeat("x", maxBody), "100")
+			r.Header["Req-Id"] = []string{fmt.Sprint(i)}
+			if a := n.do(r); a.status != 200 {
+				t.Errorf("%s: %+v", class, a)
+			}
+		}
+		if good.requests.Load() != 6 || cut.Load() == before {
+			t.Errorf("%s: %d served, %d cut off", class, good.requests.Load(), cut.Load()-before)
+		}
+	}
+}
