Make three crossing tests wait for what they force, not for chance

The first now writes the answer once the time-out is told, and checks besides that one told after an answer ends nothing. The dial goes on once it was cancelled, and the first attempt is declined once the loop has heard that the client left (a hook).

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -39,6 +39,7 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 	conns    connLimit
+	left     func() // hook of the tests: the loop will hear that a client has left
 
 	mu   sync.Mutex
 	open map[string]struct{} // the ids of the requests that are open
@@ -112,7 +113,12 @@
 	}
 	defer s.end(id)
 	s.loop.post(event{kind: eventSubmit, call: c})
-	stop := context.AfterFunc(r.Context(), func() { s.loop.post(event{kind: eventClientLeft, call: c}) })
+	stop := context.AfterFunc(r.Context(), func() {
+		s.loop.post(event{kind: eventClientLeft, call: c})
+		if s.left != nil {
+			s.left()
+		}
+	})
 	defer stop()
 	s.serve(w, r, c, body)
 }
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -77,18 +77,39 @@
 
 // gate holds each dial until the test lets it go on, whatever the node has done meanwhile.
 type gate struct {
-	dialling chan struct{}
-	open     chan struct{}
+	dialling  chan struct{}
+	cancelled chan struct{}
+	open      chan struct{}
 }
 
-func newGate() *gate { return &gate{make(chan struct{}, 100), make(chan struct{})} }
+func newGate() *gate {
+	return &gate{make(chan struct{}, 100), make(chan struct{}, 100), make(chan struct{})}
+}
 
-func (g *gate) dial(_ context.Context, network, addr string) (net.Conn, error) {
+func (g *gate) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	g.dialling <- struct{}{}
-	<-g.open
+	select {
+	case <-g.open:
+	case <-ctx.Done():
+		g.cancelled <- struct{}{}
+		<-g.open
+	}
 	return net.Dial(network, addr)
 }
 
+// leavesHeard makes the node tell of clients that have left, once the loop has heard all that was told
+// it by then.
+func (n *node) leavesHeard() <-chan struct{} {
+	heard := make(chan struct{}, 100)
+	n.inside.left = func() {
+		c := n.dial()
+		c.write(head("GET", "lookup", "after", "0.001")) // refused by the loop, for it has no time
+		c.answer()
+		heard <- struct{}{}
+	}
+	return heard
+}
+
 // wantNone sends other requests until one is served, and fails if the server got any but these.
 func (n *node) wantNone(s *appServer) {
 	n.t.Helper()
@@ -113,11 +134,13 @@
 		n, _ := startNodeWith(t, func(c *Config) {
 			slowSettings(c)
 			c.Settings.Limits.Cancel, c.dial = cancel, g.dial
+			c.Settings.Limits.DialTimeoutMs = 120_000
 		}, s)
 		c := n.dial()
 		c.write(head("GET", "lookup", "leaver", "100"))
 		waitFor(t, "the dial", g.dialling)
 		c.Close()
+		waitFor(t, "the end of the dial", g.cancelled)
 		close(g.open)
 		until(t, "the end of the request", func() bool { return !n.isOpen("leaver") })
 		n.wantNone(s)
@@ -161,13 +184,12 @@
 		one = newAppServer(t, script)
 		two := newAppServer(t, script)
 		n, _ := startNodeWith(t, func(c *Config) { slowSettings(c); c.Settings.Limits.Cancel = cancel }, one, two)
+		heard := n.leavesHeard()
 		c := n.dial()
 		c.write(head("GET", "lookup", "leaver", "100"))
 		waitFor(t, "the attempt", asked)
 		c.Close()
-		if cancel {
-			until(t, "the end of the request", func() bool { return !n.isOpen("leaver") })
-		}
+		waitFor(t, "the client's end", heard)
 		close(release)
 		until(t, "the end of the request", func() bool { return !n.isOpen("leaver") })
 		if a := n.lookup("team"); a.status != 200 || one.requests.Load()+two.requests.Load() != 2 {
@@ -398,7 +420,8 @@
 }
 
 // An answer that comes once its time is up is nobody's: its connection ends, and the next request
-// gets its own.
+// gets its own. A time-out that comes once the answer is there ends nothing: not that answer, and not
+// the connection, which may be another's by then.
 func TestAnAnswerThatCrossesItsTimeOut(t *testing.T) {
 	asked, release := make(chan struct{}, 10), make(chan struct{})
 	s := newAppServer(t, func(c net.Conn, r *http.Request) bool {
@@ -417,12 +440,19 @@
 	go func() { o, _ := a.do(out); told <- o }()
 	waitFor(t, "the attempt", asked)
 	a.abort(decide.TimedOut)
-	close(release)
 	if o := <-told; o.Status != decide.TimedOut {
 		t.Errorf("%+v", o)
 	}
-	if o, rep := testAttempt(b, limit).do(testRequest()); o.Status != decide.OK || string(rep.body) != "ok" {
-		t.Errorf("then %+v, %q", o, rep.body)
+	close(release)
+	for range 2 {
+		a := testAttempt(b, limit)
+		if o, rep := a.do(testRequest()); o.Status != decide.OK || string(rep.body) != "ok" {
+			t.Errorf("then %+v, %q", o, rep.body)
+		}
+		a.abort(decide.TimedOut)
+	}
+	if got := s.conns.Load(); got != 2 {
+		t.Errorf("%d connections, want the one that timed out and another", got)
 	}
 }
 
