--- a/cmd/asterusher/main.go
+++ b/cmd/gateway/main.go
@@ -12,7 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"asterusher/internal/node"
+	"springfield/internal/node"
 )
 
 // The heap stays far below the memory limit, so it is collected seldom; near the limit
--- a/cmd/drill/main.go
+++ b/cmd/simadapter/main.go
@@ -8,7 +8,7 @@
 	"io"
 	"os"
 
-	"asterusher/internal/wire"
+	"springfield/internal/simwire"
 )
 
 func main() {
@@ -20,7 +20,7 @@
 
 // run answers every batch of in with one reply on out, flushed at once.
 func run(in io.Reader, out io.Writer) error {
-	dec := wire.NewDecoder(bufio.NewReaderSize(in, 1<<20))
+	dec := simwire.NewDecoder(bufio.NewReaderSize(in, 1<<20))
 	h := newHost()
 	var frame []byte
 	for {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -18,9 +18,8 @@
 	"syscall"
 	"time"
 
-	"asterusher/decide"
-	"asterusher/internal/settings"
-	"asterusher/internal/wire"
+	"springfield/internal/settings"
+	"springfield/policy"
 )
 
 // answerMargin is kept between the last order of a request and the client's deadline:
@@ -52,7 +51,7 @@
 	deadline time.Duration
 }
 
-func newClients(ck clock, l *loop, s *wire.Settings, mostConns int) *clients {
+func newClients(ck clock, l *loop, s *settings.Settings, mostConns int) *clients {
 	c := &clients{clock: ck, loop: l, classes: map[string]class{}, plans: map[string]int{},
 		gateways: max(1, s.Balancers), most: s.Extra.MostUnits, open: map[string]struct{}{}}
 	if c.most <= 0 {
@@ -194,9 +193,9 @@
 		switch o.kind {
 		case orderSend:
 			outcome, rep := o.attempt.do(outbound(r, body))
-			outcome.Done = outcome.Status == decide.OK
+			outcome.RequestDone = outcome.Status == policy.StatusOK
 			s.loop.post(event{kind: eventFinished, call: c, outcome: outcome})
-			if outcome.Done {
+			if outcome.RequestDone {
 				s.answer(w, http.StatusOK, rep)
 				return
 			}
@@ -296,8 +295,8 @@
 		wait = time.Duration(min(d, float64(time.Hour)))
 	}
 	return &call{
-		request: decide.Request{Class: k.index, Plan: plan, Customer: decide.CustomerID(customer),
-			Units: units, Width: width, First: from},
+		request: policy.Request{Class: k.index, Plan: plan, Customer: policy.CustomerID(customer),
+			Units: units, SetSize: width, SetFirst: from},
 		deadline: came + wait - answerMargin,
 		orders:   make(chan order, 2),
 	}, 0
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,8 +10,7 @@
 	"syscall"
 	"time"
 
-	"asterusher/internal/settings"
-	"asterusher/internal/wire"
+	"springfield/internal/settings"
 )
 
 // Config is what an edge node is told at its start.
@@ -25,7 +24,7 @@
 		Sockets  int
 	}
 	Known    roster
-	Settings wire.Settings
+	Settings settings.Settings
 
 	path string // of the file
 
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"asterusher/decide"
+	"springfield/policy"
 )
 
 // The tests of this file force the instants in which something is still owed while something
@@ -464,20 +464,20 @@
 	b := testBackend(t, s.Addr().String())
 	a, out := testAttempt(b, limit), testRequest()
 	out.Header["Req-Id"] = []string{"late"}
-	told := make(chan decide.Outcome, 1)
+	told := make(chan policy.AttemptResult, 1)
 	go func() { o, _ := a.do(out); told <- o }()
 	waitFor(t, "the attempt", asked)
-	a.abort(decide.TimedOut)
-	if o := <-told; o.Status != decide.TimedOut {
+	a.abort(policy.StatusTimedOut)
+	if o := <-told; o.Status != policy.StatusTimedOut {
 		t.Errorf("%+v", o)
 	}
 	close(release)
 	for range 2 {
 		a := testAttempt(b, limit)
-		if o, rep := a.do(testRequest()); o.Status != decide.OK || string(rep.body) != "ok" {
+		if o, rep := a.do(testRequest()); o.Status != policy.StatusOK || string(rep.body) != "ok" {
 			t.Errorf("then %+v, %q", o, rep.body)
 		}
-		a.abort(decide.TimedOut)
+		a.abort(policy.StatusTimedOut)
 	}
 	if got := s.conns.Load(); got != 2 {
 		t.Errorf("%d connections, want the one that timed out and another", got)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -17,9 +17,8 @@
 	"sync"
 	"time"
 
-	"asterusher/decide"
-	"asterusher/internal/settings"
-	"asterusher/internal/wire"
+	"springfield/internal/settings"
+	"springfield/policy"
 )
 
 // roster is a list of app servers, whole or what changed, as discovery words it.
@@ -75,7 +74,7 @@
 // must be asked for, calls are spread over the size of the fleet, but a node that has not asked
 // for a given time counts as told of all that was listed before, and in any case of what a discovery
 // that can be reached has had for toldAfter.
-func paceOf(s *wire.Settings) pacing {
+func paceOf(s *settings.Settings) pacing {
 	p := pacing{first: backoffFirst, most: backoffMost}
 	if s.Discovery != "on_request" {
 		// What the agent gets while it is not asked counts as told at once: a pause comes out of
@@ -106,8 +105,8 @@
 	silence time.Duration // a watch with no line for so long is dead
 	loop    *loop
 	http    http.Client
-	names   map[string]decide.ServerID
-	ids     map[decide.ServerID]string
+	names   map[string]policy.EndpointID
+	ids     map[policy.EndpointID]string
 
 	heldFrom string    // where the list that is held came from; "": none is held
 	version  uint64    // and its version
@@ -128,7 +127,7 @@
 	return &discovery{
 		base: baseURL(addr), zones: zones, rng: rand.New(rand.NewPCG(seed, seed)),
 		pacing: pace, silence: watchSilence, loop: l,
-		names: map[string]decide.ServerID{}, ids: map[decide.ServerID]string{},
+		names: map[string]policy.EndpointID{}, ids: map[policy.EndpointID]string{},
 		listed: make(chan struct{}), restart: func() {},
 		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConns: 1,
 			MaxResponseHeaderBytes: maxHead}},
@@ -313,9 +312,9 @@
 
 // tell hands news to the loop.
 func (d *discovery) tell(ctx context.Context, base string, list roster) {
-	kind := decide.RosterDelta
+	kind := policy.UpdateDelta
 	if list.Full {
-		kind = decide.RosterFull
+		kind = policy.UpdateFull
 	}
 	select {
 	case d.loop.rosters <- d.news(kind, list):
@@ -334,7 +333,7 @@
 	if list.Full {
 		d.heldFrom, d.version = d.base, list.Version
 	}
-	n := d.news(decide.RosterCached, list)
+	n := d.news(policy.UpdateCached, list)
 	n.applied = make(chan struct{})
 	select {
 	case d.loop.rosters <- n:
@@ -343,21 +342,21 @@
 	}
 }
 
-func (d *discovery) news(kind decide.RosterKind, list roster) rosterNews {
+func (d *discovery) news(kind policy.UpdateKind, list roster) rosterNews {
 	n := rosterNews{kind: kind}
 	for _, in := range list.Servers {
 		if in.ID == "" || in.Addr == "" && in.State != "removed" {
 			continue
 		}
-		s := decide.Server{ID: d.id(in.ID), Weight: in.Weight, Zone: slices.Index(d.zones, in.Zone), Cell: in.Cell,
-			Started: time.Duration(max(0, min(in.StartedMS, 1<<42))) * time.Millisecond}
+		s := policy.Endpoint{ID: d.id(in.ID), Weight: in.Weight, Zone: slices.Index(d.zones, in.Zone), Cell: in.Cell,
+			StartedAt: time.Duration(max(0, min(in.StartedMS, 1<<42))) * time.Millisecond}
 		switch in.State {
 		case "up":
-			s.State = decide.Ready
+			s.State = policy.StateReady
 		case "removed":
-			s.State = decide.Gone
+			s.State = policy.StateRemoved
 		default: // draining, or what we do not know: nothing new
-			s.State = decide.Draining
+			s.State = policy.StateDraining
 		}
 		n.servers = append(n.servers, s)
 		n.addrs = append(n.addrs, in.Addr)
@@ -367,15 +366,15 @@
 }
 
 // forget drops the names of servers that have gone: ever new ones come on a long day.
-func (d *discovery) forget(kind decide.RosterKind, servers []decide.Server) {
-	gone := map[decide.ServerID]bool{}
-	if kind != decide.RosterDelta {
+func (d *discovery) forget(kind policy.UpdateKind, servers []policy.Endpoint) {
+	gone := map[policy.EndpointID]bool{}
+	if kind != policy.UpdateDelta {
 		for id := range d.ids {
 			gone[id] = true
 		}
 	}
 	for _, s := range servers {
-		gone[s.ID] = s.State == decide.Gone
+		gone[s.ID] = s.State == policy.StateRemoved
 	}
 	for id := range gone {
 		if gone[id] {
@@ -387,13 +386,13 @@
 
 // id gives a server's name a number: the same at every start, for the module ranks
 // servers by it.
-func (d *discovery) id(name string) decide.ServerID {
+func (d *discovery) id(name string) policy.EndpointID {
 	if id, ok := d.names[name]; ok {
 		return id
 	}
 	h := fnv.New32a()
 	h.Write([]byte(name))
-	id := decide.ServerID(h.Sum32())
+	id := policy.EndpointID(h.Sum32())
 	for d.ids[id] != "" {
 		id++
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -2,23 +2,22 @@
 
 import (
 	"container/heap"
-	"log"
 	"time"
 
-	"asterusher/decide"
+	"springfield/policy"
 )
 
 // loop owns the Gateway: one goroutine hands it every event and passes its actions on.
 // It does no I/O and never waits for anybody but its own channels.
 type loop struct {
 	clock    clock
-	gw       *decide.Gateway
+	gw       *policy.Engine
 	events   chan event
 	rosters  chan rosterNews // goes before events
 	done     chan struct{}
-	calls    map[decide.RequestID]*call
-	nextID   decide.RequestID
-	backends map[decide.ServerID]*backend
+	calls    map[policy.RequestID]*call
+	nextID   policy.RequestID
+	backends map[policy.EndpointID]*backend
 	pool     *pool
 	timers   timers
 	now      time.Duration
@@ -38,14 +37,14 @@
 type event struct {
 	kind    eventKind
 	call    *call
-	outcome decide.Outcome
+	outcome policy.AttemptResult
 	by      time.Duration // the time by which the node ends
 }
 
 // rosterNews is discovery's news in the module's terms, with the addresses beside it.
 type rosterNews struct {
-	kind    decide.RosterKind
-	servers []decide.Server
+	kind    policy.UpdateKind
+	servers []policy.Endpoint
 	addrs   []string
 	applied chan struct{} // closed once the module knows it
 }
@@ -53,7 +52,7 @@
 // call is a request that has been taken. The client's goroutine carries out the orders
 // that it gets; no more than two are ever waiting (an attempt, and that the client has gone).
 type call struct {
-	request  decide.Request // Left is filled in by the loop
+	request  policy.Request // Left is filled in by the loop
 	deadline time.Duration
 	orders   chan order
 	attempt  *attempt // the last one sent; the loop's
@@ -75,13 +74,13 @@
 	retryAfter time.Duration
 }
 
-func newLoop(ck clock, cfg decide.Config, p *pool) *loop {
+func newLoop(ck clock, cfg policy.Config, p *pool) *loop {
 	l := &loop{
 		clock: ck, pool: p, done: make(chan struct{}),
 		events: make(chan event, 1024), rosters: make(chan rosterNews, 16),
-		calls: map[decide.RequestID]*call{}, backends: map[decide.ServerID]*backend{},
+		calls: map[policy.RequestID]*call{}, backends: map[policy.EndpointID]*backend{},
 	}
-	l.gw = decide.New(cfg, l)
+	l.gw = policy.New(cfg, l)
 	return l
 }
 
@@ -137,9 +136,9 @@
 		switch t := heap.Pop(&l.timers).(timer); {
 		case !l.wants(t):
 		case t.attempt != nil:
-			t.attempt.abort(decide.TimedOut)
+			t.attempt.abort(policy.StatusTimedOut)
 		default:
-			l.gw.Timer(l.now, t.token)
+			l.gw.TimerFired(l.now, t.token)
 		}
 	}
 }
@@ -149,7 +148,7 @@
 	if t.attempt != nil {
 		return !t.attempt.over
 	}
-	return l.gw.Wants(t.token)
+	return l.gw.TimerPending(t.token)
 }
 
 func (l *loop) play(e event) {
@@ -167,31 +166,31 @@
 		if l.endBy > 0 {
 			c.deadline = min(c.deadline, l.endBy)
 		}
-		c.request.Left = c.deadline - l.now
+		c.request.TimeLeft = c.deadline - l.now
 		l.calls[c.request.ID] = c
 		l.gw.Submit(l.now, c.request)
 	case eventFinished:
 		// An answer ends the request: the client's goroutine is passing it on already.
 		c.attempt.over = true
-		e.outcome.ID, e.outcome.Took = c.request.ID, l.now-c.attempt.sent
+		e.outcome.Request, e.outcome.Latency = c.request.ID, l.now-c.attempt.sent
 		if l.calls[c.request.ID] != c {
-			e.outcome.Done = true
-		} else if e.outcome.Done {
+			e.outcome.RequestDone = true
+		} else if e.outcome.RequestDone {
 			delete(l.calls, c.request.ID)
 		}
-		l.gw.Finished(l.now, e.outcome)
+		l.gw.AttemptFinished(l.now, e.outcome)
 	case eventClientLeft:
 		if l.calls[c.request.ID] != c {
 			return
 		}
-		l.gw.ClientLeft(l.now, c.request.ID)
+		l.gw.ClientDisconnected(l.now, c.request.ID)
 		if c.attempt != nil {
 			c.attempt.abandon() // whatever the settings allow: no server has heard of it
 		}
 		l.end(c.request.ID, order{kind: orderDrop})
 	case eventEndBy:
 		l.endBy = e.by
-		l.gw.EndBy(l.now, e.by)
+		l.gw.BeginShutdown(l.now, e.by)
 		for _, c := range l.calls {
 			if c.deadline = min(c.deadline, e.by); c.attempt != nil && !c.attempt.over {
 				heap.Push(&l.timers, timer{due: c.deadline, attempt: c.attempt})
@@ -201,7 +200,7 @@
 }
 
 // end gives a request its last order.
-func (l *loop) end(id decide.RequestID, o order) {
+func (l *loop) end(id policy.RequestID, o order) {
 	if c := l.calls[id]; c != nil {
 		delete(l.calls, id)
 		c.orders <- o
@@ -211,15 +210,15 @@
 // roster tells the sockets before the module: what is gone gets no first byte from now on.
 func (l *loop) roster(n rosterNews) {
 	l.now = l.clock.now()
-	listed := make(map[decide.ServerID]bool, len(n.servers))
+	listed := make(map[policy.EndpointID]bool, len(n.servers))
 	for i, s := range n.servers {
 		listed[s.ID] = true
 		b := l.backends[s.ID]
-		if b != nil && (b.addr != n.addrs[i] || b.started != s.Started) {
+		if b != nil && (b.addr != n.addrs[i] || b.started != s.StartedAt) {
 			b.close(true) // another process or machine: nothing out on the old one comes back
 			b = nil
 		}
-		if s.State == decide.Gone {
+		if s.State == policy.StateRemoved {
 			if b != nil {
 				b.close(false)
 			}
@@ -227,12 +226,12 @@
 			continue
 		}
 		if b == nil {
-			b = l.pool.backend(n.addrs[i], s.Started)
+			b = l.pool.backend(n.addrs[i], s.StartedAt)
 			l.backends[s.ID] = b
 		}
-		b.setUp(s.State == decide.Ready)
+		b.setUp(s.State == policy.StateReady)
 	}
-	if n.kind != decide.RosterDelta {
+	if n.kind != policy.UpdateDelta {
 		for id, b := range l.backends {
 			if !listed[id] {
 				b.close(false)
@@ -240,16 +239,16 @@
 			}
 		}
 	}
-	l.gw.Roster(l.now, n.kind, n.servers)
+	l.gw.UpdateEndpoints(l.now, n.kind, n.servers)
 	if n.applied != nil {
 		close(n.applied)
 	}
 }
 
-// The rest implements decide.Actions.
+// The rest implements policy.Actions.
 
 // Send starts an attempt.
-func (l *loop) Send(id decide.RequestID, server decide.ServerID, until time.Duration) {
+func (l *loop) Forward(id policy.RequestID, server policy.EndpointID, until time.Duration) {
 	c := l.calls[id]
 	if c == nil {
 		return
@@ -265,52 +264,27 @@
 }
 
 // Refuse ends a request: trying again is harmless.
-func (l *loop) Refuse(id decide.RequestID, retryAfter time.Duration) {
+func (l *loop) Reject(id policy.RequestID, retryAfter time.Duration) {
 	l.end(id, order{kind: orderRefuse, retryAfter: retryAfter})
 }
 
 // Fail ends a request and promises nothing.
-func (l *loop) Fail(id decide.RequestID) { l.end(id, order{kind: orderFail}) }
+func (l *loop) Fail(id policy.RequestID) { l.end(id, order{kind: orderFail}) }
 
 // Cancel gives up an attempt; its outcome follows once its connection is closed.
-func (l *loop) Cancel(id decide.RequestID, number int) {
+func (l *loop) CancelAttempt(id policy.RequestID, number int) {
 	if c := l.calls[id]; c != nil && c.attempt != nil && c.attempt.number == number {
-		c.attempt.abort(decide.Cancelled)
+		c.attempt.abort(policy.StatusCancelled)
 	}
 }
 
 // SetTimer asks for a Timer event.
-func (l *loop) SetTimer(after time.Duration, token uint64) {
+func (l *loop) StartTimer(after time.Duration, token uint64) {
 	heap.Push(&l.timers, timer{due: l.now + after, token: token})
 }
 
-// HangUp closes the idle connections to a server.
-func (l *loop) HangUp(server decide.ServerID) {
-	if b := l.backends[server]; b != nil {
-		b.hangUp()
-	}
-}
-
-// Log writes a line to the node's log.
-func (l *loop) Log(line string) { log.Print(line) }
-
-// The module asks for none of these: the roster is pushed, and the ordinary path neither
-// probes nor talks to other gateways.
-
-// Probe does nothing.
-func (l *loop) Probe(decide.ServerID) {}
-
-// Tell does nothing.
-func (l *loop) Tell(int, []byte) {}
-
-// Count does nothing.
-func (l *loop) Count(uint64, float64, time.Duration) {}
-
-// Watch does nothing: discovery is always watched.
-func (l *loop) Watch(bool) {}
-
-// Fetch does nothing.
-func (l *loop) Fetch() {}
+// WatchEndpoints does nothing: discovery is always watched.
+func (l *loop) WatchEndpoints(bool) {}
 
 // timers is a heap, the next one due first.
 type timers []timer
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"asterusher/decide"
-	"asterusher/internal/settings"
+	"springfield/internal/settings"
+	"springfield/policy"
 )
 
 const (
@@ -161,7 +161,7 @@
 
 // moduleConfig is the settings as real sockets make them: a Send may wait for a dial, so
 // for the module the time in which repeats are dropped is shorter by that.
-func moduleConfig(cfg *Config, seed uint64) decide.Config {
+func moduleConfig(cfg *Config, seed uint64) policy.Config {
 	c := settings.Config(&cfg.Settings, seed)
 	for i := range c.Classes {
 		c.Classes[i].KeyTTL = max(0, c.Classes[i].KeyTTL-cfg.dialTimeout()-sendLag)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"asterusher/decide"
-	"asterusher/internal/wire"
+	"springfield/internal/settings"
+	"springfield/policy"
 )
 
 // registry is a discovery agent.
@@ -629,7 +629,7 @@
 	cfg := testConfig(t, "")
 	l := newLoop(newClock(), moduleConfig(cfg, 1), newPool(cfg))
 	go l.run(stop)
-	d := newDiscovery(r.Listener.Addr().String(), nil, l, paceOf(&wire.Settings{}), 1)
+	d := newDiscovery(r.Listener.Addr().String(), nil, l, paceOf(&settings.Settings{}), 1)
 	d.silence = 100 * time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -649,15 +649,15 @@
 
 // Guards the time axis: started_ms must fall on the module's clock, and 0 be long ago.
 func TestStartedFallsOnTheClock(t *testing.T) {
-	d := newDiscovery("", []string{"a", "b"}, nil, paceOf(&wire.Settings{}), 1)
+	d := newDiscovery("", []string{"a", "b"}, nil, paceOf(&settings.Settings{}), 1)
 	now := time.Now()
 	n := d.news(0, roster{Servers: []instance{
 		{ID: "x", Addr: "127.0.0.1:1", Zone: "b", State: "up", StartedMS: now.UnixMilli()},
 		{ID: "y", Addr: "127.0.0.1:2", Zone: "c", State: "odd"}}})
-	if age := newClock().now() - n.servers[0].Started; age < 0 || age > limit {
+	if age := newClock().now() - n.servers[0].StartedAt; age < 0 || age > limit {
 		t.Errorf("age %v", age)
 	}
-	if n.servers[0].Zone != 1 || n.servers[1].Zone != -1 || n.servers[1].Started != 0 || n.servers[1].State != 2 {
+	if n.servers[0].Zone != 1 || n.servers[1].Zone != -1 || n.servers[1].StartedAt != 0 || n.servers[1].State != 2 {
 		t.Errorf("%+v", n.servers)
 	}
 	if d.id("x") != n.servers[0].ID || d.id("y") == d.id("x") {
@@ -673,7 +673,7 @@
 	old.servers["a"] = line("a", "127.0.0.1:1", "up", 0)
 	fresh.servers["b"] = line("b", "127.0.0.1:2", "up", 0)
 	l := &loop{rosters: make(chan rosterNews, 16), done: make(chan struct{})}
-	d := newDiscovery(old.Listener.Addr().String(), nil, l, paceOf(&wire.Settings{}), 1)
+	d := newDiscovery(old.Listener.Addr().String(), nil, l, paceOf(&settings.Settings{}), 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { d.run(ctx); close(ended) }()
@@ -697,7 +697,7 @@
 	default:
 	}
 	fresh.mu.Unlock()
-	if n := next(); n.kind != decide.RosterFull || len(n.addrs) != 1 || n.addrs[0] != "127.0.0.1:2" {
+	if n := next(); n.kind != policy.UpdateFull || len(n.addrs) != 1 || n.addrs[0] != "127.0.0.1:2" {
 		t.Errorf("%+v", n)
 	}
 	if len(d.names) != 1 || len(d.ids) != 1 {
@@ -705,7 +705,7 @@
 	}
 	watch := <-fresh.watches
 	watch <- `{"version":1,"full":false,"servers":[{"id":"b","state":"removed"}]}`
-	if n := next(); n.kind != decide.RosterDelta || n.servers[0].State != decide.Gone || len(d.names) != 0 {
+	if n := next(); n.kind != policy.UpdateDelta || n.servers[0].State != policy.StateRemoved || len(d.names) != 0 {
 		t.Errorf("%+v, names %v", n, d.names)
 	}
 	cancel()
@@ -727,7 +727,7 @@
 	}))
 	defer s.Close()
 	l := &loop{rosters: make(chan rosterNews, 16), done: make(chan struct{})}
-	d := newDiscovery(s.Listener.Addr().String(), nil, l, paceOf(&wire.Settings{}), 1)
+	d := newDiscovery(s.Listener.Addr().String(), nil, l, paceOf(&settings.Settings{}), 1)
 	go func() { close((<-l.rosters).applied) }()
 	d.known(roster{Version: 41, Full: true, Servers: []instance{{ID: "a", Addr: "127.0.0.1:1", State: "up"}}})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -779,7 +779,7 @@
 			}
 		}))
 		l := &loop{rosters: make(chan rosterNews, 16), done: make(chan struct{})}
-		d := newDiscovery(s.Listener.Addr().String(), nil, l, paceOf(&wire.Settings{}), 1)
+		d := newDiscovery(s.Listener.Addr().String(), nil, l, paceOf(&settings.Settings{}), 1)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() { d.run(ctx); close(ended) }()
@@ -798,7 +798,7 @@
 
 // paced follows a discovery of the kind given, as node n of a fleet, and holds a list.
 func paced(kind string, nodes, n int) *discovery {
-	s := wire.Settings{Discovery: kind, Balancers: nodes}
+	s := settings.Settings{Discovery: kind, Balancers: nodes}
 	s.Safety.AskWithinMs = 10_000
 	d := newDiscovery("127.0.0.1:1", nil, nil, paceOf(&s), uint64(n))
 	d.heldFrom = d.base
@@ -974,10 +974,10 @@
 	l := newLoop(newClock(), moduleConfig(cfg, 1), newPool(cfg))
 	l.now = l.clock.now()
 	l.gw.Start(l.now)
-	l.roster(rosterNews{kind: decide.RosterFull, servers: []decide.Server{{ID: 1, Weight: 1, State: decide.Ready}},
+	l.roster(rosterNews{kind: policy.UpdateFull, servers: []policy.Endpoint{{ID: 1, Weight: 1, State: policy.StateReady}},
 		addrs: []string{"127.0.0.1:1"}})
 	submit := func(class int) *call {
-		c := &call{request: decide.Request{Class: class, Units: 1, Width: 1}, deadline: l.clock.now() + 8*time.Second,
+		c := &call{request: policy.Request{Class: class, Units: 1, SetSize: 1}, deadline: l.clock.now() + 8*time.Second,
 			orders: make(chan order, 2)}
 		l.play(event{kind: eventSubmit, call: c})
 		return c
@@ -998,7 +998,7 @@
 	if !out.attempt.aborted {
 		t.Fatal("it is still out")
 	}
-	l.play(event{kind: eventFinished, call: out, outcome: decide.Outcome{Server: 1, Status: decide.TimedOut}})
+	l.play(event{kind: eventFinished, call: out, outcome: policy.AttemptResult{Endpoint: 1, Status: policy.StatusTimedOut}})
 	if o := <-out.orders; o.kind != orderFail {
 		t.Errorf("%+v", o)
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"asterusher/decide"
+	"springfield/policy"
 )
 
 // pool holds the connections to app servers. Unlike http.Transport it never sends
@@ -72,7 +72,7 @@
 // its reads and writes need no deadline of their own.
 type attempt struct {
 	backend *backend // nil: the server has left the roster
-	server  decide.ServerID
+	server  policy.EndpointID
 	number  int
 	sent    time.Duration
 	until   time.Time
@@ -82,7 +82,7 @@
 	conn    net.Conn           // while the request is out on it
 	undial  context.CancelFunc // while it waits for a connection
 	aborted bool
-	why     decide.Status
+	why     policy.Status
 }
 
 // reply is what an app server answered.
@@ -199,7 +199,7 @@
 	}
 	b.mu.Unlock()
 	for _, a := range out {
-		a.abort(decide.Reset)
+		a.abort(policy.StatusReset)
 	}
 	b.hangUp()
 	b.pool.mu.Lock()
@@ -258,7 +258,7 @@
 
 // abort ends an attempt: cancelled, out of time, or its server replaced. Its goroutine closes the connection and only then tells
 // the loop, so that two attempts are never out at once.
-func (a *attempt) abort(why decide.Status) {
+func (a *attempt) abort(why policy.Status) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.stop(why)
@@ -270,12 +270,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.conn == nil {
-		a.stop(decide.Cancelled)
+		a.stop(policy.StatusCancelled)
 	}
 }
 
 // stop ends an attempt; a.mu is held.
-func (a *attempt) stop(why decide.Status) {
+func (a *attempt) stop(why policy.Status) {
 	if a.aborted {
 		return
 	}
@@ -289,15 +289,15 @@
 }
 
 // connect finds or opens a connection.
-func (a *attempt) connect() (*upstream, decide.Status) {
+func (a *attempt) connect() (*upstream, policy.Status) {
 	b := a.backend
 	p := b.pool
 	if u := b.take(p.rest); u != nil {
-		return u, decide.OK
+		return u, policy.StatusOK
 	}
 	if p.open.Add(1) > p.most {
 		p.open.Add(-1)
-		return nil, decide.Moot // the node's own limit: not the server's fault
+		return nil, policy.StatusNotSent // the node's own limit: not the server's fault
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), earlier(a.until, time.Now().Add(p.dialTimeout)))
 	defer cancel()
@@ -317,19 +317,19 @@
 	if err != nil {
 		p.open.Add(-1)
 		if aborted {
-			return nil, decide.Moot
+			return nil, policy.StatusNotSent
 		}
-		return nil, decide.ConnectFailed
+		return nil, policy.StatusConnectFailed
 	}
 	raw, err := conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		conn.Close()
 		p.open.Add(-1)
-		return nil, decide.ConnectFailed
+		return nil, policy.StatusConnectFailed
 	}
 	u := &upstream{Conn: conn, raw: raw}
 	u.reader = bufio.NewReader(u)
-	return u, decide.OK
+	return u, policy.StatusOK
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -352,7 +352,7 @@
 }
 
 // release takes the connection back; it reports whether the attempt was aborted.
-func (a *attempt) release() (bool, decide.Status) {
+func (a *attempt) release() (bool, policy.Status) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = nil
@@ -362,12 +362,12 @@
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // do carries the attempt out, from connection to the answer's last byte.
-func (a *attempt) do(out *http.Request) (decide.Outcome, reply) {
-	o := decide.Outcome{Attempt: a.number, Server: a.server}
+func (a *attempt) do(out *http.Request) (policy.AttemptResult, reply) {
+	o := policy.AttemptResult{Attempt: a.number, Endpoint: a.server}
 	var rep reply
 	b := a.backend
 	if b == nil || !b.up.Load() {
-		o.Status = decide.Moot
+		o.Status = policy.StatusNotSent
 		return o, rep
 	}
 	b.mu.Lock()
@@ -383,21 +383,21 @@
 	defer buffers.Put(buf)
 
 	u, status := a.connect()
-	if status != decide.OK {
+	if status != policy.StatusOK {
 		o.Status = status
 		return o, rep
 	}
 	out.Header["Req-Deadline"] = []string{strconv.FormatFloat(max(0, time.Until(a.until).Seconds()), 'f', 3, 64)}
 	if err := out.Write(buf); err != nil || !a.begin(u) {
 		b.give(u)
-		o.Status = decide.Moot
+		o.Status = policy.StatusNotSent
 		return o, rep
 	}
 	n, err := u.Write(buf.Bytes())
 	if n < buf.Len() {
 		a.release()
 		b.pool.discard(u)
-		o.Status = decide.ConnectFailed // not whole: it can't have run
+		o.Status = policy.StatusConnectFailed // not whole: it can't have run
 		return o, rep
 	}
 	var keep bool
@@ -415,7 +415,7 @@
 	case aborted:
 		o.Status = why
 	default:
-		o.Status = decide.Reset
+		o.Status = policy.StatusReset
 	}
 	return o, rep
 }
@@ -427,7 +427,7 @@
 
 // read takes the whole answer and says how it ends the attempt. An answer whose end is in
 // doubt may be another's or a part of one: it is none, and the request may have run.
-func (u *upstream) read(out *http.Request, o *decide.Outcome, rep *reply) (keep bool, err error) {
+func (u *upstream) read(out *http.Request, o *policy.AttemptResult, rep *reply) (keep bool, err error) {
 	u.left, u.head = maxHead, u.head[:0]
 	resp, err := http.ReadResponse(u.reader, out)
 	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
@@ -457,17 +457,17 @@
 	rep.contentType = resp.Header["Content-Type"]
 	if v := resp.Header["Usage-Percent"]; len(v) > 0 {
 		if f, err := strconv.ParseFloat(v[0], 64); err == nil && f >= 0 && f <= 1e6 {
-			o.Metered, o.Use = true, f/100
+			o.HasUsage, o.Usage = true, f/100
 		}
 	}
 	declined := resp.Header.Get("Srv-Declined") == "1"
 	switch code := resp.StatusCode; {
 	case code == http.StatusOK:
-		o.Status = decide.OK
+		o.Status = policy.StatusOK
 	case declined && (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout):
-		o.Status = decide.Full
+		o.Status = policy.StatusRejected
 	default:
-		o.Status = decide.ServerError
+		o.Status = policy.StatusServerError
 	}
 	return !resp.Close && u.reader.Buffered() == 0, nil
 }
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"asterusher/decide"
+	"springfield/policy"
 )
 
 const limit = 10 * time.Second // for anything that a test waits for
@@ -147,45 +147,45 @@
 	for _, c := range []struct {
 		name   string
 		script func(net.Conn, *http.Request) bool
-		want   decide.Status
+		want   policy.Status
 		pooled bool
 	}{
-		{"served", says(ok200, true), decide.OK, true},
-		{"served, last on its connection", says(head("200 OK", "Connection: close\r\n"), true), decide.OK, false},
-		{"served in chunks", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true), decide.OK, true},
-		{"served after a hint", says("HTTP/1.1 103 Early Hints\r\n\r\n"+ok200, true), decide.OK, true},
-		{"served with bytes to spare", says(ok200+"?", true), decide.OK, false},
-		{"error", says(head("500 X", ""), true), decide.ServerError, true},
-		{"503 of unknown cause", says(head("503 X", ""), true), decide.ServerError, true},
-		{"503 declined", says(head("503 X", "Srv-Declined: 1\r\n"), true), decide.Full, true},
-		{"504 declined", says(head("504 X", "Srv-Declined: 1\r\n"), true), decide.Full, true},
-		{"500 is no refusal", says(head("500 X", "Srv-Declined: 1\r\n"), true), decide.ServerError, true},
-		{"closed unanswered", says("", false), decide.Reset, false},
-		{"half a body", says("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false), decide.Reset, false},
-		{"garbage", says("What?\r\n\r\n", false), decide.Reset, false},
-		{"too long", says("HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n", true), decide.Reset, false},
-		{"no length", says("HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", maxBody+1), true), decide.Reset, false},
-		{"no length, short", says("HTTP/1.1 200 OK\r\n\r\nok", false), decide.Reset, false},
-		{"two lengths", says("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nok", true), decide.Reset, false},
-		{"a length below nothing", says("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nok", true), decide.Reset, false},
-		{"a length and a coding", says("HTTP/1.1 200 OK\r\ncontent-length : 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true), decide.Reset, false},
-		{"a coding and a length", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n", true), decide.Reset, false},
-		{"a broken chunk", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\nok\r\n0\r\n\r\n", true), decide.Reset, false},
-		{"chunks without end", floods("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"), decide.Reset, false},
-		{"a head without end", floods("HTTP/1.1 200 OK\r\n", "X-Pad: pppp\r\n"), decide.Reset, false},
-		{"a line without end", floods("HTTP/1.1 200 OK\r\nX-Pad: ", "pppp"), decide.Reset, false},
-		{"hints without end", floods("", "HTTP/1.1 103 Early Hints\r\n\r\n"), decide.Reset, false},
-		{"served after many hints", says(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 20)+ok200, true), decide.OK, true},
-		{"served with a copy behind", says(ok200+ok200, true), decide.OK, false},
-		{"3 GB", says("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nok", true), decide.Reset, false},
+		{"served", says(ok200, true), policy.StatusOK, true},
+		{"served, last on its connection", says(head("200 OK", "Connection: close\r\n"), true), policy.StatusOK, false},
+		{"served in chunks", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true), policy.StatusOK, true},
+		{"served after a hint", says("HTTP/1.1 103 Early Hints\r\n\r\n"+ok200, true), policy.StatusOK, true},
+		{"served with bytes to spare", says(ok200+"?", true), policy.StatusOK, false},
+		{"error", says(head("500 X", ""), true), policy.StatusServerError, true},
+		{"503 of unknown cause", says(head("503 X", ""), true), policy.StatusServerError, true},
+		{"503 declined", says(head("503 X", "Srv-Declined: 1\r\n"), true), policy.StatusRejected, true},
+		{"504 declined", says(head("504 X", "Srv-Declined: 1\r\n"), true), policy.StatusRejected, true},
+		{"500 is no refusal", says(head("500 X", "Srv-Declined: 1\r\n"), true), policy.StatusServerError, true},
+		{"closed unanswered", says("", false), policy.StatusReset, false},
+		{"half a body", says("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false), policy.StatusReset, false},
+		{"garbage", says("What?\r\n\r\n", false), policy.StatusReset, false},
+		{"too long", says("HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n", true), policy.StatusReset, false},
+		{"no length", says("HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", maxBody+1), true), policy.StatusReset, false},
+		{"no length, short", says("HTTP/1.1 200 OK\r\n\r\nok", false), policy.StatusReset, false},
+		{"two lengths", says("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nok", true), policy.StatusReset, false},
+		{"a length below nothing", says("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nok", true), policy.StatusReset, false},
+		{"a length and a coding", says("HTTP/1.1 200 OK\r\ncontent-length : 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true), policy.StatusReset, false},
+		{"a coding and a length", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n", true), policy.StatusReset, false},
+		{"a broken chunk", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\nok\r\n0\r\n\r\n", true), policy.StatusReset, false},
+		{"chunks without end", floods("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"), policy.StatusReset, false},
+		{"a head without end", floods("HTTP/1.1 200 OK\r\n", "X-Pad: pppp\r\n"), policy.StatusReset, false},
+		{"a line without end", floods("HTTP/1.1 200 OK\r\nX-Pad: ", "pppp"), policy.StatusReset, false},
+		{"hints without end", floods("", "HTTP/1.1 103 Early Hints\r\n\r\n"), policy.StatusReset, false},
+		{"served after many hints", says(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 20)+ok200, true), policy.StatusOK, true},
+		{"served with a copy behind", says(ok200+ok200, true), policy.StatusOK, false},
+		{"3 GB", says("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nok", true), policy.StatusReset, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := testBackend(t, newAppServer(t, c.script).Addr().String())
 			o, rep := testAttempt(b, limit).do(testRequest())
-			if o.Status != c.want || o.Attempt != 2 || o.Server != 7 {
+			if o.Status != c.want || o.Attempt != 2 || o.Endpoint != 7 {
 				t.Errorf("got %+v, want status %d", o, c.want)
 			}
-			if o.Status == decide.OK && string(rep.body) != "ok" {
+			if o.Status == policy.StatusOK && string(rep.body) != "ok" {
 				t.Errorf("body %q", rep.body)
 			}
 			if (len(b.idle) == 1) != c.pooled || b.pool.open.Load() != int64(len(b.idle)) {
@@ -199,7 +199,7 @@
 	for text, want := range map[string]float64{"86": 0.86, "0": 0, "x": -1, "NaN": -1, "-4": -1} {
 		s := newAppServer(t, says("HTTP/1.1 500 X\r\nUsage-Percent: "+text+"\r\nContent-Length: 0\r\n\r\n", true))
 		o, _ := testAttempt(testBackend(t, s.Addr().String()), limit).do(testRequest())
-		if o.Metered != (want >= 0) || o.Metered && o.Use != want {
+		if o.HasUsage != (want >= 0) || o.HasUsage && o.Usage != want {
 			t.Errorf("%q: %+v", text, o)
 		}
 	}
@@ -208,7 +208,7 @@
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	s := newAppServer(t, silent)
 	s.stop()
-	if o, _ := testAttempt(testBackend(t, s.Addr().String()), limit).do(testRequest()); o.Status != decide.ConnectFailed {
+	if o, _ := testAttempt(testBackend(t, s.Addr().String()), limit).do(testRequest()); o.Status != policy.StatusConnectFailed {
 		t.Errorf("got %+v", o)
 	}
 }
@@ -222,12 +222,12 @@
 func TestBrokenBeforeTheLastByteNeverRan(t *testing.T) {
 	b := testBackend(t, newAppServer(t, silent).Addr().String())
 	u, status := testAttempt(b, limit).connect()
-	if status != decide.OK {
+	if status != policy.StatusOK {
 		t.Fatal(status)
 	}
 	u.Conn = shortConn{u.Conn}
 	b.give(u)
-	if o, _ := testAttempt(b, limit).do(testRequest()); o.Status != decide.ConnectFailed {
+	if o, _ := testAttempt(b, limit).do(testRequest()); o.Status != policy.StatusConnectFailed {
 		t.Errorf("got %+v", o)
 	}
 }
@@ -238,11 +238,11 @@
 	s := newAppServer(t, func(net.Conn, *http.Request) bool { asked <- struct{}{}; return true })
 	b := testBackend(t, s.Addr().String())
 	a := testAttempt(b, limit)
-	told := make(chan decide.Outcome, 1)
+	told := make(chan policy.AttemptResult, 1)
 	go func() { o, _ := a.do(testRequest()); told <- o }()
 	waitFor(t, "the attempt", asked)
-	a.abort(decide.Cancelled)
-	if o := <-told; o.Status != decide.Cancelled || b.pool.open.Load() != 0 {
+	a.abort(policy.StatusCancelled)
+	if o := <-told; o.Status != policy.StatusCancelled || b.pool.open.Load() != 0 {
 		t.Errorf("%+v, %d open", o, b.pool.open.Load())
 	}
 	waitFor(t, "the closed connection", s.gone)
@@ -253,7 +253,7 @@
 	s := newAppServer(t, says(ok200, false)) // it says keep-alive, and closes
 	b := testBackend(t, s.Addr().String())
 	for range 3 {
-		if o, _ := testAttempt(b, limit).do(testRequest()); o.Status != decide.OK {
+		if o, _ := testAttempt(b, limit).do(testRequest()); o.Status != policy.StatusOK {
 			t.Fatalf("got %+v", o)
 		}
 		until(t, "the end of the idle connection", b.idle[0].stale)
@@ -284,7 +284,7 @@
 	b := testBackend(t, s.Addr().String())
 	a := testAttempt(b, limit)
 	u, status := a.connect()
-	if status != decide.OK {
+	if status != policy.StatusOK {
 		t.Fatal(status)
 	}
 	b.setUp(false)
@@ -292,7 +292,7 @@
 		t.Error("it went out")
 	}
 	b.give(u)
-	if o, _ := a.do(testRequest()); o.Status != decide.Moot || s.requests.Load() != 0 || len(b.idle) != 0 {
+	if o, _ := a.do(testRequest()); o.Status != policy.StatusNotSent || s.requests.Load() != 0 || len(b.idle) != 0 {
 		t.Errorf("%+v, %d requests, %d idle", o, s.requests.Load(), len(b.idle))
 	}
 }
@@ -302,11 +302,11 @@
 	asked := make(chan struct{}, 1)
 	s := newAppServer(t, func(net.Conn, *http.Request) bool { asked <- struct{}{}; return true })
 	b := testBackend(t, s.Addr().String())
-	told := make(chan decide.Outcome, 1)
+	told := make(chan policy.AttemptResult, 1)
 	go func() { o, _ := testAttempt(b, limit).do(testRequest()); told <- o }()
 	waitFor(t, "the attempt", asked)
 	b.close(true)
-	if o := <-told; o.Status != decide.Reset {
+	if o := <-told; o.Status != policy.StatusReset {
 		t.Errorf("got %+v", o)
 	}
 }
@@ -314,10 +314,10 @@
 func TestConnectionsStayInsideTheirShare(t *testing.T) {
 	b := testBackend(t, newAppServer(t, silent).Addr().String())
 	b.pool.most = 1
-	if _, status := testAttempt(b, limit).connect(); status != decide.OK {
+	if _, status := testAttempt(b, limit).connect(); status != policy.StatusOK {
 		t.Fatal(status)
 	}
-	if o, _ := testAttempt(b, limit).do(testRequest()); o.Status != decide.Moot || b.pool.open.Load() != 1 {
+	if o, _ := testAttempt(b, limit).do(testRequest()); o.Status != policy.StatusNotSent || b.pool.open.Load() != 1 {
 		t.Errorf("%+v, %d open", o, b.pool.open.Load())
 	}
 }
@@ -363,7 +363,7 @@
 	b := testBackend(t, s.Addr().String())
 	b.pool.rest = time.Hour
 	for range 3 {
-		if o, rep := testAttempt(b, limit).do(testRequest()); o.Status != decide.OK || string(rep.body) != "ok" {
+		if o, rep := testAttempt(b, limit).do(testRequest()); o.Status != policy.StatusOK || string(rep.body) != "ok" {
 			t.Errorf("%+v, %q", o, rep.body)
 		}
 	}
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"asterusher/decide"
-	"asterusher/internal/wire"
+	"springfield/internal/settings"
+	"springfield/policy"
 )
 
 // follows runs a discovery that nobody but the test hears.
@@ -29,7 +29,7 @@
 
 func unheard(addr string) (*discovery, *loop) {
 	l := &loop{rosters: make(chan rosterNews, 16), done: make(chan struct{})}
-	return newDiscovery(addr, nil, l, paceOf(&wire.Settings{}), 1), l
+	return newDiscovery(addr, nil, l, paceOf(&settings.Settings{}), 1), l
 }
 
 func nextNews(t *testing.T, l *loop) rosterNews {
@@ -52,11 +52,11 @@
 	watch := <-r.watches
 	watch <- "{\n  \"version\": 2,\n  \"full\": false,\n  \"servers\": [\n    {\n      \"id\": \"}{\\\"[\",\n" +
 		"      \"addr\": \"127.0.0.1:1\",\n      \"state\": \"draining\"\n    }\n  ]\n}\n"
-	if n := nextNews(t, l); n.kind != decide.RosterDelta || len(n.servers) != 1 || n.servers[0].State != decide.Draining {
+	if n := nextNews(t, l); n.kind != policy.UpdateDelta || len(n.servers) != 1 || n.servers[0].State != policy.StateDraining {
 		t.Errorf("%+v", n)
 	}
 	watch <- `{"version":3,"full":false,"servers":[{"id":"b","addr":"127.0.0.1:2","state":"up"}]}`
-	if n := nextNews(t, l); len(n.servers) != 1 || n.servers[0].State != decide.Ready {
+	if n := nextNews(t, l); len(n.servers) != 1 || n.servers[0].State != policy.StateReady {
 		t.Errorf("then %+v", n)
 	}
 }
@@ -160,7 +160,7 @@
 		for _, nodes := range []int{1, 20, 300, 3000} {
 			for _, within := range []float64{0, 1500, 10_000, 120_000} {
 				for n := range 20 {
-					var s wire.Settings
+					var s settings.Settings
 					s.Discovery, s.Balancers, s.Safety.AskWithinMs = kind, nodes, within
 					d := newDiscovery("127.0.0.1:1", nil, nil, paceOf(&s), uint64(n))
 					d.heldFrom = d.base
@@ -212,7 +212,7 @@
 // grace of the settings, however often it was not answered.
 func TestAnAgentIsAskedAgainWithinTheDrainGrace(t *testing.T) {
 	for _, grace := range []float64{0, 100, 600, 3000} {
-		var s wire.Settings
+		var s settings.Settings
 		s.Safety.DrainGraceMs = grace
 		p := paceOf(&s)
 		if want := time.Duration(grace/2) * time.Millisecond; grace > 0 && p.most > want || p.most <= 0 || p.most > time.Second {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,10 +6,44 @@
 	"math"
 	"time"
 
-	"asterusher/decide"
-	"asterusher/internal/wire"
+	"springfield/policy"
 )
 
+// Settings is a site's settings object, as the simulator's first message and the gateway's configuration
+// carry it. Keys that are not named here are skipped.
+type Settings struct {
+	Balancers int
+	Classes   []struct {
+		AimMs, HardLimitMs, LateValue, KeyTtlMs, Value float64
+		Repeat, Group, Name                            string
+		Streamed                                       bool
+	}
+	Discovery string
+	Extra     struct {
+		CountFee, CountLimitMs, MostUnits, PeerInPerS, UsePeriodMs float64
+		SharedCounter, TruedUp                                     bool
+	}
+	GranularityMs float64
+	Limits        struct {
+		Cancel, PeerMessages, Probes, RetryAfter, SecondCopies bool
+		MaxRetryAfterMs, ConnIdleMs, DialTimeoutMs             float64
+		MostHeld, SendCap                                      int
+	}
+	Locality, MyNumber int
+	Zones              []string
+	Report             struct {
+		Columns []string
+		How     string
+	}
+	Safety struct {
+		AskWithinMs, ColdFrom, DrainGraceMs, FallMs, FallMultiple, GraceToAnswerMs, WarmWithinMs float64
+	}
+	Contracts []struct {
+		Name                                                                                   string
+		AtOnce, Burst, CeilingBurst, HardRate, OverCost, OverWorth, Pays, Tolerance, UnitsPerS float64
+	}
+}
+
 // Duration turns the milliseconds of the settings and the wire into a time.
 func Duration(ms float64) time.Duration {
 	switch us := ms * 1000; {
@@ -25,41 +59,39 @@
 }
 
 // Config is what the module is told of a site's settings. seed is for its random numbers.
-func Config(s *wire.Settings, seed uint64) decide.Config {
-	c := decide.Config{
-		Number: s.MyNumber, Gateways: s.Balancers, Zone: s.Locality, Seed: seed,
-		MeterPeriod: Duration(s.Extra.UsePeriodMs), TruedUp: s.Extra.TruedUp, MostUnits: s.Extra.MostUnits,
-		SharedCounter: s.Extra.SharedCounter, PeerMessages: s.Limits.PeerMessages, PeersPerSec: s.Extra.PeerInPerS,
-		Probes: s.Limits.Probes, ProbeReports: s.Report.How == "on_probe",
-		Cancel: s.Limits.Cancel, SecondCopies: s.Limits.SecondCopies, SendCap: s.Limits.SendCap,
-		MostHeld: s.Limits.MostHeld, RetryAfter: s.Limits.RetryAfter, MaxRetryAfter: Duration(s.Limits.MaxRetryAfterMs),
-		OnRequest: s.Discovery == "on_request",
-		ColdFrom:  s.Safety.ColdFrom, WarmWithin: Duration(s.Safety.WarmWithinMs),
-		FallMultiple: s.Safety.FallMultiple, FallWindow: Duration(s.Safety.FallMs), Tick: Duration(s.GranularityMs),
+func Config(s *Settings, seed uint64) policy.Config {
+	c := policy.Config{
+		GatewayIndex: s.MyNumber, GatewayCount: s.Balancers, Zone: s.Locality, Seed: seed,
+		MeterPeriod: Duration(s.Extra.UsePeriodMs), MaxRequestUnits: s.Extra.MostUnits,
+		CanCancel: s.Limits.Cancel, MaxAttempts: s.Limits.SendCap,
+		MaxOpenRequests: s.Limits.MostHeld, SendRetryAfter: s.Limits.RetryAfter, MaxRetryAfter: Duration(s.Limits.MaxRetryAfterMs),
+		PolledEndpoints:       s.Discovery == "on_request",
+		WarmUpInitialCapacity: s.Safety.ColdFrom, WarmUpDuration: Duration(s.Safety.WarmWithinMs),
+		WarmUpOverloadFactor: s.Safety.FallMultiple, WarmUpOverloadWindow: Duration(s.Safety.FallMs),
 	}
 	for _, k := range s.Classes {
-		class := decide.Class{Aim: Duration(k.AimMs), Deadline: Duration(k.HardLimitMs), Worth: k.Value,
-			Late: k.LateValue, KeyTTL: Duration(k.KeyTtlMs), Streamed: k.Streamed}
+		class := policy.Class{LatencyObjective: Duration(k.AimMs), PriorityWeight: k.Value,
+			KeyTTL: Duration(k.KeyTtlMs)}
 		switch k.Repeat {
 		case "idempotent":
-			class.Repeat = decide.Idempotent
+			class.Idempotency = policy.Idempotent
 		case "deduplicated":
-			class.Repeat = decide.Deduplicated
+			class.Idempotency = policy.IdempotentByKey
 		default:
-			class.Repeat = decide.AtMostOnce
+			class.Idempotency = policy.NonIdempotent
 		}
 		switch k.Group {
 		case "zone":
-			class.Group = decide.GroupZone
+			class.KeyScope = policy.KeyScopeZone
 		case "cell":
-			class.Group = decide.GroupCell
+			class.KeyScope = policy.KeyScopeCell
 		}
 		c.Classes = append(c.Classes, class)
 	}
 	for _, p := range s.Contracts {
-		c.Plans = append(c.Plans, decide.Plan{Quota: p.UnitsPerS, Burst: p.Burst, CeilingRate: p.HardRate,
-			CeilingBurst: p.CeilingBurst, CeilingTolerance: p.Tolerance, AtOnce: p.AtOnce, Price: p.Pays,
-			OverWorth: p.OverWorth, OverCost: p.OverCost})
+		c.Plans = append(c.Plans, policy.Plan{QuotaRate: p.UnitsPerS, Burst: p.Burst, CeilingRate: p.HardRate,
+			CeilingBurst: p.CeilingBurst, MaxConcurrent: p.AtOnce, PriceFactor: p.Pays,
+			OverQuotaValue: p.OverWorth, OverQuotaCost: p.OverCost})
 	}
 	return c
 }
--- a/internal/wire/wire.go
+++ b/internal/simwire/wire.go
@@ -1,6 +1,6 @@
-// Package wire is the codec of the bench's wire: it translates frames into
+// Package simwire is the codec of the bench's wire: it translates frames into
 // typed events and typed actions into frames, and takes no decision.
-package wire
+package simwire
 
 import (
 	"encoding/binary"
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"math"
+
+	"springfield/internal/settings"
 )
 
 // Event codes.
@@ -58,7 +60,7 @@
 	Code      uint8
 	Node      uint32
 	Seed      uint64
-	Settings  *Settings
+	Settings  *settings.Settings
 	RosterID  uint32
 	Version   uint64
 	Kind      uint8
@@ -97,40 +99,6 @@
 	Kind      uint16
 }
 
-// Settings is the JSON of Begin; keys that are not named here are skipped.
-type Settings struct {
-	Balancers int
-	Classes   []struct {
-		AimMs, HardLimitMs, LateValue, KeyTtlMs, Value float64
-		Repeat, Group, Name                            string
-		Streamed                                       bool
-	}
-	Discovery string
-	Extra     struct {
-		CountFee, CountLimitMs, MostUnits, PeerInPerS, UsePeriodMs float64
-		SharedCounter, TruedUp                                     bool
-	}
-	GranularityMs float64
-	Limits        struct {
-		Cancel, PeerMessages, Probes, RetryAfter, SecondCopies bool
-		MaxRetryAfterMs, ConnIdleMs, DialTimeoutMs             float64
-		MostHeld, SendCap                                      int
-	}
-	Locality, MyNumber int
-	Zones              []string
-	Report             struct {
-		Columns []string
-		How     string
-	}
-	Safety struct {
-		AskWithinMs, ColdFrom, DrainGraceMs, FallMs, FallMultiple, GraceToAnswerMs, WarmWithinMs float64
-	}
-	Contracts []struct {
-		Name                                                                                   string
-		AtOnce, Burst, CeilingBurst, HardRate, OverCost, OverWorth, Pays, Tolerance, UnitsPerS float64
-	}
-}
-
 // Decoder reads batches; it keeps the numbered server lists between them.
 type Decoder struct {
 	r      io.Reader
@@ -280,7 +248,7 @@
 		if c.err != nil {
 			return c.err
 		}
-		e.Settings = new(Settings)
+		e.Settings = new(settings.Settings)
 		if err := json.Unmarshal(text, e.Settings); err != nil {
 			return &Error{at, "settings do not parse: " + err.Error()}
 		}
--- a/internal/wire/wire_test.go
+++ b/internal/simwire/wire_test.go
@@ -1,4 +1,4 @@
-package wire
+package simwire
 
 import (
 	"bytes"
--- a/decide/decide_test.go
+++ b/policy/decide_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 
 // fake records the actions and plays the timers.
 type fake struct {
-	g       *Gateway
+	g       *Engine
 	now     time.Duration
 	log     []string
 	sent    []sent
@@ -26,7 +26,7 @@
 
 type sent struct {
 	id RequestID
-	to ServerID
+	to EndpointID
 	at time.Duration
 }
 
@@ -38,29 +38,23 @@
 func (f *fake) note(format string, a ...any) {
 	f.log = append(f.log, fmt.Sprintf("%v ", f.now)+fmt.Sprintf(format, a...))
 }
-func (f *fake) Send(id RequestID, s ServerID, until time.Duration) {
+func (f *fake) Forward(id RequestID, s EndpointID, until time.Duration) {
 	f.sent = append(f.sent, sent{id, s, f.now})
 	f.note("send %d %d", id, s)
 }
-func (f *fake) Refuse(id RequestID, after time.Duration) {
+func (f *fake) Reject(id RequestID, after time.Duration) {
 	f.refused = append(f.refused, id)
 	f.note("refuse %d", id)
 }
 func (f *fake) Fail(id RequestID) { f.failed = append(f.failed, id); f.note("fail %d", id) }
-func (f *fake) Cancel(id RequestID, n int) {
+func (f *fake) CancelAttempt(id RequestID, n int) {
 	f.cancels = append(f.cancels, id)
 	f.note("cancel %d %d", id, n)
 }
-func (f *fake) SetTimer(d time.Duration, token uint64) {
+func (f *fake) StartTimer(d time.Duration, token uint64) {
 	f.timers = append(f.timers, timer{f.now + d, token})
 }
-func (f *fake) Probe(s ServerID)                                { f.note("probe %d", s) }
-func (f *fake) HangUp(s ServerID)                               {}
-func (f *fake) Tell(p int, m []byte)                            { f.note("tell %d", p) }
-func (f *fake) Count(n uint64, a float64, expire time.Duration) { f.note("count %d", n) }
-func (f *fake) Watch(on bool)                                   { f.note("watch %v", on) }
-func (f *fake) Fetch()                                          {}
-func (f *fake) Log(string)                                      {}
+func (f *fake) WatchEndpoints(on bool) { f.note("watch %v", on) }
 
 // until plays the timers up to t, in order.
 func (f *fake) until(t time.Duration) {
@@ -78,23 +72,23 @@
 		x := f.timers[best]
 		f.timers = append(f.timers[:best], f.timers[best+1:]...)
 		f.now = x.at
-		f.g.Timer(x.at, x.token)
+		f.g.TimerFired(x.at, x.token)
 	}
 }
 
 func config() Config {
-	return Config{Gateways: 2, Seed: 7, MeterPeriod: time.Second, Cancel: true, SendCap: 5, MostUnits: 4,
-		MaxRetryAfter: time.Second, RetryAfter: true,
-		ColdFrom: 0.2, WarmWithin: 10 * time.Second, FallMultiple: 2, FallWindow: time.Second,
+	return Config{GatewayCount: 2, Seed: 7, MeterPeriod: time.Second, CanCancel: true, MaxAttempts: 5, MaxRequestUnits: 4,
+		MaxRetryAfter: time.Second, SendRetryAfter: true,
+		WarmUpInitialCapacity: 0.2, WarmUpDuration: 10 * time.Second, WarmUpOverloadFactor: 2, WarmUpOverloadWindow: time.Second,
 		Classes: []Class{
-			{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: 3, Repeat: Idempotent},
-			{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: 3, Repeat: Deduplicated, Group: GroupZone, KeyTTL: time.Second},
-			{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: 3, Repeat: AtMostOnce},
+			{LatencyObjective: 500 * ms, PriorityWeight: 3, Idempotency: Idempotent},
+			{LatencyObjective: 500 * ms, PriorityWeight: 3, Idempotency: IdempotentByKey, KeyScope: KeyScopeZone, KeyTTL: time.Second},
+			{LatencyObjective: 500 * ms, PriorityWeight: 3, Idempotency: NonIdempotent},
 		},
 		Plans: []Plan{
-			{Quota: 10, Burst: 20, Price: 1, OverCost: 0.5},
-			{Quota: 10, Burst: 20, Price: 1, OverWorth: 0.3},
-			{Quota: 10, Burst: 20, Price: 1, OverCost: 0.5, CeilingRate: 20, CeilingBurst: 40},
+			{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: 0.5},
+			{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaValue: 0.3},
+			{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: 0.5, CeilingRate: 20, CeilingBurst: 40},
 		}}
 }
 
@@ -103,22 +97,22 @@
 	f := &fake{}
 	f.g = New(cfg, f)
 	f.g.Start(0)
-	var list []Server
+	var list []Endpoint
 	for i := 1; i <= n; i++ {
-		list = append(list, Server{ID: ServerID(i), Weight: 1, State: Ready})
+		list = append(list, Endpoint{ID: EndpointID(i), Weight: 1, State: StateReady})
 	}
 	list[n-1].Zone = 1
-	f.g.Roster(0, RosterCached, list)
+	f.g.UpdateEndpoints(0, UpdateCached, list)
 	return f
 }
 
 func (f *fake) submit(id RequestID, class, plan int, units float64) {
 	f.g.Submit(f.now, Request{ID: id, Class: class, Plan: plan, Customer: CustomerID(plan + 1),
-		Left: 2 * time.Second, Units: units, Width: 2})
+		TimeLeft: 2 * time.Second, Units: units, SetSize: 2})
 }
 
 func (f *fake) finish(id RequestID, st Status, use float64) {
-	var to ServerID
+	var to EndpointID
 	n := -1
 	for _, s := range f.sent {
 		if s.id == id {
@@ -126,8 +120,8 @@
 			n++
 		}
 	}
-	f.g.Finished(f.now, Outcome{ID: id, Attempt: n, Server: to, Status: st, Took: 50 * ms, Done: st == OK,
-		Metered: use >= 0, Use: use})
+	f.g.AttemptFinished(f.now, AttemptResult{Request: id, Attempt: n, Endpoint: to, Status: st, Latency: 50 * ms, RequestDone: st == StatusOK,
+		HasUsage: use >= 0, Usage: use})
 }
 
 func TestPassAtOnce(t *testing.T) {
@@ -136,7 +130,7 @@
 	if len(f.sent) != 1 {
 		t.Fatalf("not sent at once: %v", f.log)
 	}
-	f.finish(1, OK, 0.5)
+	f.finish(1, StatusOK, 0.5)
 	f.until(5 * time.Second)
 	if len(f.refused)+len(f.failed) != 0 || len(f.g.requests) != 0 {
 		t.Errorf("answered twice or not at all: %v", f.log)
@@ -145,8 +139,8 @@
 
 func TestHoldFormula(t *testing.T) {
 	g := start(config(), 3).g
-	c := &customer{plan: &Plan{Quota: 10}, avgUse: 4}
-	g.peakUse, g.sumQuota, g.sumUse = 100, 40, 20
+	c := &customer{plan: &Plan{QuotaRate: 10}, avgUsage: 4}
+	g.peakUsage, g.totalQuota, g.totalUsage = 100, 40, 20
 	for _, k := range []struct {
 		unmet    bool
 		use, sum float64
@@ -157,16 +151,16 @@
 		{false, 4, 20, 24}, // B - (utilized - avgUse) while room is left
 		{false, 4, 50, 10}, // else b
 	} {
-		g.unmet, c.avgUse, g.sumUse = k.unmet, k.use, k.sum
-		if got := g.avail(c); got != k.avail {
+		g.someUnderQuota, c.avgUsage, g.totalUsage = k.unmet, k.use, k.sum
+		if got := g.availableRate(c); got != k.avail {
 			t.Errorf("%+v: avail %v", k, got)
 		}
-		if got, want := g.holdFor(c, 2), (1/k.avail-1/100.0)*2; math.Abs(got-want) > 1e-12 {
+		if got, want := g.holdSeconds(c, 2), (1/k.avail-1/100.0)*2; math.Abs(got-want) > 1e-12 {
 			t.Errorf("%+v: hold %v, want %v", k, got, want)
 		}
 	}
-	g.peakUse = 5
-	if got := g.holdFor(c, 2); got != 0 {
+	g.peakUsage = 5
+	if got := g.holdSeconds(c, 2); got != 0 {
 		t.Errorf("a hold below zero: %v", got)
 	}
 }
@@ -174,16 +168,16 @@
 // press makes the back end look pressed and the customer of plan 0 over its quota.
 func overQuota(f *fake) *customer {
 	f.submit(1, 0, 0, 1)
-	f.finish(1, OK, 1)
+	f.finish(1, StatusOK, 1)
 	c := f.g.customers[1]
-	c.avgUse, f.g.pressed, f.g.pressure, f.g.unmet = 20, true, 0.9, true
+	c.avgUsage, f.g.overloaded, f.g.pressure, f.g.someUnderQuota = 20, true, 0.9, true
 	return c
 }
 
 func TestHeldLeaveInTurn(t *testing.T) {
 	f := start(config(), 3)
 	overQuota(f)
-	f.g.peakUse = 1e9
+	f.g.peakUsage = 1e9
 	for id := RequestID(2); id <= 4; id++ {
 		f.submit(id, 0, 0, 1)
 	}
@@ -206,20 +200,20 @@
 func TestQuotaRule(t *testing.T) {
 	f := start(config(), 3)
 	f.submit(1, 0, 0, 1)
-	f.finish(1, OK, 2)
+	f.finish(1, StatusOK, 2)
 	c := f.g.customers[1]
 	for i := 0; i < 6; i++ { // use of twice the quota empties the store of 20 in 2 s
 		f.until(f.now + time.Second)
-		f.g.meter(f.now, c, 2)
+		f.g.recordUsage(f.now, c, 2)
 	}
-	if c.store != 0 || c.refuse <= 0.5 {
-		t.Fatalf("store %v, chance %v", c.store, c.refuse)
+	if c.fleetTokens != 0 || c.rejectProbability <= 0.5 {
+		t.Fatalf("store %v, chance %v", c.fleetTokens, c.rejectProbability)
 	}
-	c.refuse = 1
+	c.rejectProbability = 1
 	if f.submit(2, 0, 0, 1); len(f.refused) != 1 {
 		t.Errorf("empty store, chance 1: %v", f.log)
 	}
-	c.store = 5
+	c.fleetTokens = 5
 	if f.submit(3, 0, 0, 1); len(f.sent) != 2 {
 		t.Errorf("units in store: %v", f.log)
 	}
@@ -243,7 +237,7 @@
 	if len(f.sent) != 12 {
 		t.Fatalf("a soft plan was refused on a quiet day: %v", f.log)
 	}
-	f.g.pressed = true
+	f.g.overloaded = true
 	if f.submit(13, 0, 1, 1); len(f.refused) != 1 {
 		t.Errorf("not refused under pressure: %v", f.log)
 	}
@@ -259,9 +253,9 @@
 	for f.now < 6*time.Second {
 		f.until(f.now + 20*ms)
 		f.submit(id, 0, 2, 2)
-		f.g.customers[3].local = 20
+		f.g.customers[3].estimatedTokens = 20
 		for ; answered < len(f.sent); answered++ {
-			f.finish(f.sent[answered].id, OK, -1)
+			f.finish(f.sent[answered].id, StatusOK, -1)
 		}
 		id++
 	}
@@ -279,8 +273,8 @@
 
 func TestDrainsAreKept(t *testing.T) {
 	f := start(config(), 2)
-	f.g.Roster(0, RosterDelta, []Server{{ID: 1, Weight: 1, State: Draining}})
-	f.g.Roster(0, RosterFull, []Server{{ID: 1, Weight: 1, State: Draining}}) // 2 is absent: removed
+	f.g.UpdateEndpoints(0, UpdateDelta, []Endpoint{{ID: 1, Weight: 1, State: StateDraining}})
+	f.g.UpdateEndpoints(0, UpdateFull, []Endpoint{{ID: 1, Weight: 1, State: StateDraining}}) // 2 is absent: removed
 	f.submit(1, 0, 0, 1)
 	f.until(3 * time.Second)
 	if len(f.sent) != 0 || len(f.refused) != 1 {
@@ -294,7 +288,7 @@
 		status Status
 		resent bool
 	}{
-		{0, Reset, true}, {1, Reset, true}, {2, Reset, false}, {2, ConnectFailed, true}, {2, Full, true},
+		{0, StatusReset, true}, {1, StatusReset, true}, {2, StatusReset, false}, {2, StatusConnectFailed, true}, {2, StatusRejected, true},
 	} {
 		f := start(config(), 3)
 		f.submit(1, k.class, 0, 1)
@@ -316,7 +310,7 @@
 	f := start(config(), 3)
 	f.submit(1, 1, 0, 1)
 	f.now = 1100 * ms
-	if f.finish(1, Reset, -1); len(f.sent) != 1 || len(f.failed) != 1 {
+	if f.finish(1, StatusReset, -1); len(f.sent) != 1 || len(f.failed) != 1 {
 		t.Errorf("%v", f.log)
 	}
 }
@@ -325,12 +319,12 @@
 	f := start(config(), 3)
 	f.submit(1, 0, 0, 1)
 	first := f.sent[0].to
-	f.g.perUnit = 0.05
+	f.g.latencyPerUnit = 0.05
 	f.until(400 * ms)
 	if len(f.cancels) != 1 {
 		t.Fatalf("still waiting on silence: %v", f.log)
 	}
-	if f.finish(1, Cancelled, -1); len(f.sent) != 2 || f.sent[1].to == first {
+	if f.finish(1, StatusCancelled, -1); len(f.sent) != 2 || f.sent[1].to == first {
 		t.Errorf("%v", f.log)
 	}
 	g := f.g
@@ -343,9 +337,9 @@
 
 func TestColdServerGetsItsShare(t *testing.T) {
 	f := start(config(), 3)
-	f.g.sentRate = 60
+	f.g.forwardRate = 60
 	f.now = 100 * time.Second
-	f.g.Roster(f.now, RosterDelta, []Server{{ID: 2, Weight: 1, State: Ready, Started: f.now}})
+	f.g.UpdateEndpoints(f.now, UpdateDelta, []Endpoint{{ID: 2, Weight: 1, State: StateReady, StartedAt: f.now}})
 	cold := 0
 	for id := RequestID(1); id <= 100; id++ { // one second of 100 units
 		f.submit(id, 0, 9, 1)
@@ -365,16 +359,13 @@
 
 func TestBadEventsAreHarmless(t *testing.T) {
 	f := start(config(), 1)
-	f.g.Submit(0, Request{ID: 1, Class: 9, Plan: 9, Left: time.Second})
-	f.g.Submit(0, Request{ID: 2, Plan: 9, Left: time.Second, Units: math.NaN()})
-	f.g.Submit(0, Request{ID: 3, Left: -1})
-	f.g.Finished(0, Outcome{ID: 77, Server: 88, Status: OK})
-	f.g.Finished(0, Outcome{ID: 2, Server: 88, Attempt: 40, Status: Reset})
-	f.g.ClientLeft(0, 99)
-	f.g.Timer(0, math.MaxUint64)
-	f.g.Message(0, 9, []byte{1})
-	f.g.Probed(0, 9, OK, 0, Report{})
-	f.g.Counted(0, 9, OK, 1)
+	f.g.Submit(0, Request{ID: 1, Class: 9, Plan: 9, TimeLeft: time.Second})
+	f.g.Submit(0, Request{ID: 2, Plan: 9, TimeLeft: time.Second, Units: math.NaN()})
+	f.g.Submit(0, Request{ID: 3, TimeLeft: -1})
+	f.g.AttemptFinished(0, AttemptResult{Request: 77, Endpoint: 88, Status: StatusOK})
+	f.g.AttemptFinished(0, AttemptResult{Request: 2, Endpoint: 88, Attempt: 40, Status: StatusReset})
+	f.g.ClientDisconnected(0, 99)
+	f.g.TimerFired(0, math.MaxUint64)
 	if len(f.refused) != 2 || len(f.sent) != 1 || len(f.g.requests) != 1 {
 		t.Errorf("%v", f.log)
 	}
@@ -385,7 +376,7 @@
 		f := start(config(), 3)
 		for id := RequestID(1); id <= 300; id++ {
 			f.g.Submit(f.now, Request{ID: id, Class: int(id) % 3, Plan: int(id) % 3, Customer: CustomerID(id % 17),
-				Left: time.Second, Units: float64(id%4 + 1), Width: 2})
+				TimeLeft: time.Second, Units: float64(id%4 + 1), SetSize: 2})
 			if id%3 == 0 {
 				f.finish(id, Status(id%5), 1.5)
 			}
@@ -402,23 +393,23 @@
 // a share of the time takes minutes to open again, while the servers stand idle.
 func TestLatenessLeavesEachServerItsLeastWork(t *testing.T) {
 	cfg := config()
-	cfg.Gateways = 80
+	cfg.GatewayCount = 80
 	f := start(cfg, 60)
 	for i := range 200 {
 		f.now += 100 * ms
-		s := f.g.servers[ServerID(i%60+1)]
-		f.g.bound(f.now, s, &request{Request: Request{Units: 1}, class: &f.g.cfg.Classes[0]}, true, 900*ms)
+		s := f.g.endpoints[EndpointID(i%60+1)]
+		f.g.adjustLimits(f.now, s, &request{Request: Request{Units: 1}, class: &f.g.cfg.Classes[0]}, true, 900*ms)
 	}
-	if want := leastEach * 60 / 80; math.Abs(f.g.limit-want) > 1e-9 || f.g.restUntil > f.now {
-		t.Fatalf("bound %v (want %v), rest %v after nothing but late answers", f.g.limit, want, f.g.restUntil-f.now)
+	if want := minUnitsPerEndpoint * 60 / 80; math.Abs(f.g.limit-want) > 1e-9 || f.g.pausedUntil > f.now {
+		t.Fatalf("bound %v (want %v), rest %v after nothing but late answers", f.g.limit, want, f.g.pausedUntil-f.now)
 	}
 	if f.submit(1, 0, 9, 1); len(f.sent) != 1 {
 		t.Error("nothing is sent at the least bound")
 	}
-	for _, s := range f.g.roster { // cold servers do less
-		s.Started = f.now
+	for _, s := range f.g.endpointList { // cold servers do less
+		s.StartedAt = f.now
 	}
-	if least := f.g.leastLimit(f.now); least >= leastEach*60/80 {
+	if least := f.g.minLimit(f.now); least >= minUnitsPerEndpoint*60/80 {
 		t.Errorf("the least for cold servers is %v", least)
 	}
 }
@@ -426,15 +417,15 @@
 // icb3277: servers full of stale work; the queue must stay at the gateway.
 func TestWorkOutIsBoundedWhenAnswersAreLate(t *testing.T) {
 	cfg := config()
-	cfg.Gateways = 100 // they share one server, so a gateway's least is a share of the time
+	cfg.GatewayCount = 100 // they share one server, so a gateway's least is a share of the time
 	f := start(cfg, 1)
-	s, lost := f.g.servers[1], &request{Request: Request{Units: 1}, class: &f.g.cfg.Classes[0]}
+	s, lost := f.g.endpoints[1], &request{Request: Request{Units: 1}, class: &f.g.cfg.Classes[0]}
 	for i := 0; i < 100; i++ {
 		f.now += time.Second
-		f.g.bound(f.now, s, &request{Request: Request{Units: 1}, class: &f.g.cfg.Classes[0]}, true, 900*ms)
+		f.g.adjustLimits(f.now, s, &request{Request: Request{Units: 1}, class: &f.g.cfg.Classes[0]}, true, 900*ms)
 	}
-	if s.limit != 1 || math.Abs(f.g.limit-max(leastOpen, leastEach/100)) > 1e-9 || f.g.restUntil <= f.now {
-		t.Fatalf("limit %v, of all %v, rest %v after late answers", s.limit, f.g.limit, f.g.restUntil-f.now)
+	if s.limit != 1 || math.Abs(f.g.limit-max(minFleetLimit, minUnitsPerEndpoint/100)) > 1e-9 || f.g.pausedUntil <= f.now {
+		t.Fatalf("limit %v, of all %v, rest %v after late answers", s.limit, f.g.limit, f.g.pausedUntil-f.now)
 	}
 	if f.submit(100, 0, 9, 1); len(f.sent) != 0 {
 		t.Error("a resting gateway sent work")
@@ -442,21 +433,21 @@
 	// An attempt cuts it once, however often it is looked at: lost answers are looked at often.
 	f.g.limit = 9
 	for i := 0; i < 10; i++ {
-		f.g.bound(f.now, s, lost, true, 900*ms)
+		f.g.adjustLimits(f.now, s, lost, true, 900*ms)
 	}
-	if f.g.limit != 9-allCut {
+	if f.g.limit != 9-limitDecrease {
 		t.Errorf("bound on all %v after one lost answer", f.g.limit)
 	}
-	f.g.restUntil, f.g.limit = 0, 9
+	f.g.pausedUntil, f.g.limit = 0, 9
 	for id := RequestID(1); id <= 5; id++ {
 		f.submit(id, 0, 9, 1)
 	}
 	if len(f.sent) != 1 {
 		t.Errorf("%d out over a limit of one", len(f.sent))
 	}
-	s.outUnits = 1
+	s.inFlightUnits = 1
 	for i := 0; i < 50; i++ {
-		f.g.bound(f.now, s, lost, false, 50*ms)
+		f.g.adjustLimits(f.now, s, lost, false, 50*ms)
 	}
 	if s.limit <= 1 || s.limit > 4.2 {
 		t.Errorf("limit %v: it grows only while it is used", s.limit)
@@ -467,11 +458,11 @@
 func TestSurgeBeforeTheMeter(t *testing.T) {
 	f := start(config(), 9)
 	f.submit(1, 0, 0, 1)
-	f.finish(1, OK, 0.5)
+	f.finish(1, StatusOK, 0.5)
 	id := RequestID(2)
 	for ; id <= 60; id++ { // 59 units at once; this gateway's part is about half
 		f.submit(id, 0, 0, 1)
-		f.finish(id, OK, 0.5)
+		f.finish(id, StatusOK, 0.5)
 	}
 	if n := len(f.sent); n < 8 || n > 12 { // half of a burst of 20, and the first request's
 		t.Errorf("%d units of a surge were sent", n)
@@ -482,15 +473,15 @@
 // burst is a sixth of one of them, and its debt would last for ten seconds.
 func TestACalmCustomerOfManyGatewaysIsServed(t *testing.T) {
 	cfg := config()
-	cfg.Gateways, cfg.Plans[0].OverCost = 60, 1
+	cfg.GatewayCount, cfg.Plans[0].OverQuotaCost = 60, 1
 	for cfg.Seed = 1; cfg.Seed <= 50; cfg.Seed++ {
 		f := start(cfg, 9)
 		id := RequestID(1)
 		try := func() { // a unit a second here of three; the quota is 10
 			f.until(f.now + 2*time.Second)
-			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, Left: time.Second, Units: 2, Width: 60})
+			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, TimeLeft: time.Second, Units: 2, SetSize: 60})
 			if n := len(f.sent); n > 0 && f.sent[n-1].id == id {
-				f.finish(id, OK, 0.3)
+				f.finish(id, StatusOK, 0.3)
 			}
 			id++
 		}
@@ -511,18 +502,18 @@
 // alone, close it, also in the periods in which no answer brings one.
 func TestTheRefusalChanceMovesWithoutAnswers(t *testing.T) {
 	cfg := config()
-	cfg.Gateways = 60
+	cfg.GatewayCount = 60
 	f := start(cfg, 9)
-	c := f.g.customerOf(0, &Request{Customer: 5, Plan: 0, Width: 60})
-	f.g.meter(0, c, 3)
-	once := c.refuse
-	f.g.advance(5*time.Second, c)
-	if c.refuse <= once || c.refuse < 0.95 {
-		t.Errorf("refused by %v after a reading of three quotas, by %v five periods later", once, c.refuse)
+	c := f.g.customerFor(0, &Request{Customer: 5, Plan: 0, SetSize: 60})
+	f.g.recordUsage(0, c, 3)
+	once := c.rejectProbability
+	f.g.updateCustomer(5*time.Second, c)
+	if c.rejectProbability <= once || c.rejectProbability < 0.95 {
+		t.Errorf("refused by %v after a reading of three quotas, by %v five periods later", once, c.rejectProbability)
 	}
-	f.g.meter(6*time.Second, c, 0) // no use at all: the rule's limit
-	if c.refuse != 0 {
-		t.Errorf("refused by %v at no use", c.refuse)
+	f.g.recordUsage(6*time.Second, c, 0) // no use at all: the rule's limit
+	if c.rejectProbability != 0 {
+		t.Errorf("refused by %v at no use", c.rejectProbability)
 	}
 }
 
@@ -541,15 +532,15 @@
 		{use: 0.3, overCost: 0.5, width: 35, least: 0, most: 6},  // not thin: 0.57 units
 	} {
 		cfg := config()
-		cfg.Gateways, cfg.Plans[0].OverCost = 160, k.overCost
+		cfg.GatewayCount, cfg.Plans[0].OverQuotaCost = 160, k.overCost
 		cfg.Seed = 2 // its gateway passes the first request
 		f := start(cfg, 9)
 		f.until(5 * time.Second)
 		for id := RequestID(1); id <= 21; id++ {
 			f.until(f.now + 200*ms)
-			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, Left: time.Second, Units: 2, Width: k.width})
+			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, TimeLeft: time.Second, Units: 2, SetSize: k.width})
 			if n := len(f.sent); n > 0 && f.sent[n-1].id == id {
-				f.finish(id, OK, k.use)
+				f.finish(id, StatusOK, k.use)
 			}
 		}
 		if n := len(f.sent) - 1; n < k.least || n > k.most {
@@ -564,27 +555,27 @@
 // not what it is then tried with.
 func TestOneFailureEjectsAndOnlyRepeatableWorkTries(t *testing.T) {
 	f := start(config(), 4)
-	f.g.retries = 0
+	f.g.retryTokens = 0
 	f.submit(1, 0, 9, 1)
-	bad := f.g.servers[f.sent[0].to]
-	f.finish(1, ServerError, -1)
+	bad := f.g.endpoints[f.sent[0].to]
+	f.finish(1, StatusServerError, -1)
 	if !bad.ejected {
 		t.Fatal("not ejected after a failure")
 	}
-	for _, s := range f.g.roster { // nowhere else to go
+	for _, s := range f.g.endpointList { // nowhere else to go
 		if s != bad {
-			s.State = Draining
+			s.State = StateDraining
 		}
 	}
 	search, post := &f.g.cfg.Classes[0], &f.g.cfg.Classes[2]
 	may := func(at time.Duration, k *Class) bool {
-		c := f.g.customerOf(at, &Request{Customer: 9, Plan: 9, Width: 1})
-		return f.g.pick(at, &request{Request: Request{Units: 1}, class: k, cust: c}) == bad
+		c := f.g.customerFor(at, &Request{Customer: 9, Plan: 9, SetSize: 1})
+		return f.g.chooseEndpoint(at, &request{Request: Request{Units: 1}, class: k, customer: c}) == bad
 	}
-	soon, late := trialFirst+ms, trialFirst+trialMost+ms
-	if may(trialFirst-ms, search) || !may(soon, search) || may(soon, post) || !may(late, post) {
+	soon, late := minEjection+ms, minEjection+maxEjection+ms
+	if may(minEjection-ms, search) || !may(soon, search) || may(soon, post) || !may(late, post) {
 		t.Errorf("tried early %v, by repeatable work %v, by other work %v, and at last %v",
-			may(trialFirst-ms, search), may(soon, search), may(soon, post), may(late, post))
+			may(minEjection-ms, search), may(soon, search), may(soon, post), may(late, post))
 	}
 }
 
@@ -592,21 +583,21 @@
 // with little traffic goes on meeting it. It is left alone for a second, then for two.
 func TestAServerThatDeclinesIsLeftAlone(t *testing.T) {
 	f := start(config(), 4)
-	f.g.retries = 0
+	f.g.retryTokens = 0
 	f.submit(1, 0, 9, 1)
-	s := f.g.servers[f.sent[0].to]
-	f.finish(1, Full, -1)
-	if !s.ejected || s.trialAt != f.now+trialFirst {
-		t.Fatalf("ejected %v until %v after it declined", s.ejected, s.trialAt)
-	}
-	f.now = s.trialAt
-	f.g.fault(f.now, s) // and again
-	if rest := s.trialAt - f.now; rest != 2*trialFirst {
+	s := f.g.endpoints[f.sent[0].to]
+	f.finish(1, StatusRejected, -1)
+	if !s.ejected || s.nextTrial != f.now+minEjection {
+		t.Fatalf("ejected %v until %v after it declined", s.ejected, s.nextTrial)
+	}
+	f.now = s.nextTrial
+	f.g.recordFailure(f.now, s) // and again
+	if rest := s.nextTrial - f.now; rest != 2*minEjection {
 		t.Errorf("left alone for %v after it declined again", rest)
 	}
 	f.submit(2, 0, 9, 1)
-	f.finish(2, OK, -1)
-	if other := f.g.servers[f.sent[1].to]; other == s {
+	f.finish(2, StatusOK, -1)
+	if other := f.g.endpoints[f.sent[1].to]; other == s {
 		t.Error("sent to a server that is left alone")
 	}
 }
@@ -616,11 +607,11 @@
 func TestTwoSlowAnswersTell(t *testing.T) {
 	f := start(config(), 4)
 	f.submit(1, 0, 9, 1)
-	s := f.g.servers[f.sent[0].to]
-	s.perUnit, f.g.perUnit = 0.05, 0.05
+	s := f.g.endpoints[f.sent[0].to]
+	s.latencyPerUnit, f.g.latencyPerUnit = 0.05, 0.05
 	was := f.g.cost(f.now, s, 1)
 	for range 2 {
-		f.g.observe(f.now, s, Outcome{Server: s.ID, Took: 200 * ms}, 1, f.g.requests[1])
+		f.g.recordResult(f.now, s, AttemptResult{Endpoint: s.ID, Latency: 200 * ms}, 1, f.g.requests[1])
 	}
 	if now := f.g.cost(f.now, s, 1); now < 2.5*was {
 		t.Errorf("cost %v after two answers four times as slow, %v before", now, was)
@@ -630,13 +621,13 @@
 // i6a2346: a full server answers at once and so looks idle; it must not draw the retries.
 func TestFullServerCostsMore(t *testing.T) {
 	f := start(config(), 1)
-	f.g.perUnit = 0.1
-	s := f.g.servers[1]
+	f.g.latencyPerUnit = 0.1
+	s := f.g.endpoints[1]
 	was := f.g.cost(f.now, s, 1)
 	f.submit(1, 2, 9, 1)
 	limit := s.limit
-	f.g.retries = 0
-	f.finish(1, Full, -1)
+	f.g.retryTokens = 0
+	f.finish(1, StatusRejected, -1)
 	if s.limit >= limit || f.g.cost(f.now, s, 1) <= was {
 		t.Errorf("limit %v, cost %v after a full refusal", s.limit, f.g.cost(f.now, s, 1))
 	}
@@ -648,15 +639,15 @@
 	total := 0
 	for n := 0; n < 100; n++ {
 		cfg := config()
-		cfg.Gateways, cfg.Number, cfg.Seed = 100, n, uint64(n)
+		cfg.GatewayCount, cfg.GatewayIndex, cfg.Seed = 100, n, uint64(n)
 		f := start(cfg, 1)
-		f.g.sentRate, f.now = 0.1, time.Second
-		f.g.Roster(f.now, RosterFull, []Server{{ID: 7, Weight: 1, State: Ready, Started: f.now}})
-		s := f.g.servers[7]
+		f.g.forwardRate, f.now = 0.1, time.Second
+		f.g.UpdateEndpoints(f.now, UpdateFull, []Endpoint{{ID: 7, Weight: 1, State: StateReady, StartedAt: f.now}})
+		s := f.g.endpoints[7]
 		for i := 0; i < 20; i++ { // one second, a request in 50 ms, nowhere else to send it
 			f.now += 50 * ms
-			if f.g.coldRoom(f.now, s, 1) {
-				s.coldStore--
+			if f.g.warmUpBudgetAllows(f.now, s, 1) {
+				s.warmUpTokens--
 				total++
 			}
 		}
@@ -671,24 +662,24 @@
 // cold ones are bounded by their stores: all gateways together must give them what they can do.
 func TestAFleetUsesItsColdServers(t *testing.T) {
 	const gateways, warm, cold = 80, 24, 36
-	units := map[ServerID]float64{}
+	units := map[EndpointID]float64{}
 	for n := range gateways {
 		cfg := config()
-		cfg.Number, cfg.Gateways, cfg.Seed = n, gateways, uint64(n)
+		cfg.GatewayIndex, cfg.GatewayCount, cfg.Seed = n, gateways, uint64(n)
 		f := start(cfg, warm)
 		for id := RequestID(1); id <= 75; id++ { // 6 units a second for 25 s
 			f.until(f.now + 333*ms)
 			if id == 60 {
-				var fresh []Server
-				for id := ServerID(100); id < 100+cold; id++ {
-					fresh = append(fresh, Server{ID: id, Weight: 1, State: Ready, Started: f.now})
+				var fresh []Endpoint
+				for id := EndpointID(100); id < 100+cold; id++ {
+					fresh = append(fresh, Endpoint{ID: id, Weight: 1, State: StateReady, StartedAt: f.now})
 				}
-				f.g.Roster(f.now, RosterDelta, fresh)
+				f.g.UpdateEndpoints(f.now, UpdateDelta, fresh)
 			}
-			f.g.Submit(f.now, Request{ID: id, Plan: 9, Customer: 9, Left: time.Second, Units: 2, Width: 1})
+			f.g.Submit(f.now, Request{ID: id, Plan: 9, Customer: 9, TimeLeft: time.Second, Units: 2, SetSize: 1})
 			to := f.sent[len(f.sent)-1].to
 			units[to] += 2
-			f.g.Finished(f.now, Outcome{ID: id, Server: to, Took: 200 * ms, Done: true})
+			f.g.AttemptFinished(f.now, AttemptResult{Request: id, Endpoint: to, Latency: 200 * ms, RequestDone: true})
 		}
 	}
 	// A warm server's part is 8 units a second. From a fifth to seven tenths warm in 5 s, a cold
@@ -706,19 +697,19 @@
 
 // idec807: hundreds of gateways that visit every server hold more connections than it takes.
 func TestAGatewayReachesForFewServers(t *testing.T) {
-	all := map[ServerID]int{}
+	all := map[EndpointID]int{}
 	for n := 0; n < 50; n++ {
 		cfg := config()
-		cfg.Number, cfg.Gateways = n, 50
+		cfg.GatewayIndex, cfg.GatewayCount = n, 50
 		f := start(cfg, 20)
-		own := map[ServerID]bool{}
+		own := map[EndpointID]bool{}
 		for id := RequestID(1); id <= 30; id++ {
 			f.now += 200 * ms
-			f.g.Submit(f.now, Request{ID: id, Plan: 9, Customer: 9, Left: time.Second, Units: 1, Width: 1})
+			f.g.Submit(f.now, Request{ID: id, Plan: 9, Customer: 9, TimeLeft: time.Second, Units: 1, SetSize: 1})
 			to := f.sent[len(f.sent)-1].to
 			own[to] = true
 			all[to]++
-			f.g.Finished(f.now, Outcome{ID: id, Server: to, Took: 50 * ms, Done: true})
+			f.g.AttemptFinished(f.now, AttemptResult{Request: id, Endpoint: to, Latency: 50 * ms, RequestDone: true})
 		}
 		if len(own) > 3 {
 			t.Fatalf("gateway %d visited %d servers with one request out at a time", n, len(own))
@@ -736,18 +727,18 @@
 		cfg := config()
 		cfg.Seed = 2 // its gateway passes the first request
 		f := start(cfg, 3)
-		f.g.Submit(0, Request{ID: 1, Plan: 0, Customer: 5, Left: time.Second, Units: 1, Width: 50})
+		f.g.Submit(0, Request{ID: 1, Plan: 0, Customer: 5, TimeLeft: time.Second, Units: 1, SetSize: 50})
 		c := f.g.customers[5]
 		if len(f.sent) != 1 {
 			t.Fatal("the first request was not passed")
 		}
 		for i := 0; i < 20; i++ {
 			f.now += time.Second
-			f.g.meter(f.now, c, use)
+			f.g.recordUsage(f.now, c, use)
 		}
-		c.local, f.g.pressed = -500, pressed
-		f.g.advance(f.now+time.Second, c)
-		return c.local + 500
+		c.estimatedTokens, f.g.overloaded = -500, pressed
+		f.g.updateCustomer(f.now+time.Second, c)
+		return c.estimatedTokens + 500
 	}
 	if calm, busy, held := fed(0.1, false), fed(1.5, false), fed(0.1, true); calm < 30 || busy != 10 || held != 10 {
 		t.Errorf("fed %v to a calm customer, %v to a busy one, %v under pressure; the quota is 10", calm, busy, held)
@@ -761,10 +752,10 @@
 	sent := 0
 	for id := RequestID(1); id <= 100; id++ { // one of 20 gateways, 1 unit a second for 100 s, quota 10
 		f.now += time.Second
-		f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, Left: time.Second, Units: 1, Width: 20})
+		f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, TimeLeft: time.Second, Units: 1, SetSize: 20})
 		if len(f.sent) > sent {
 			sent++
-			f.g.Finished(f.now, Outcome{ID: id, Server: f.sent[len(f.sent)-1].to, Took: 50 * ms, Done: true})
+			f.g.AttemptFinished(f.now, AttemptResult{Request: id, Endpoint: f.sent[len(f.sent)-1].to, Latency: 50 * ms, RequestDone: true})
 		}
 	}
 	if sent < 45 || sent > 55 { // 100 s of a twentieth of 10 units a second, and the burst's part
@@ -776,7 +767,7 @@
 // seldom; moving attempts away then only multiplies the work.
 func TestSlowIsNotSilent(t *testing.T) {
 	f := start(config(), 3)
-	f.g.perUnit = 0.15 // what a unit takes of late
+	f.g.latencyPerUnit = 0.15 // what a unit takes of late
 	f.submit(1, 0, 9, 1)
 	f.until(1100 * ms)
 	if len(f.cancels) != 0 {
@@ -793,9 +784,9 @@
 // server has overtaken with a later one is moved, and cuts no bound.
 func TestLostAnswersCloseNoBound(t *testing.T) {
 	f := start(config(), 3)
-	f.g.perUnit = 0.025
+	f.g.latencyPerUnit = 0.025
 	f.submit(1, 0, 0, 1)
-	s := f.g.servers[f.sent[0].to]
+	s := f.g.endpoints[f.sent[0].to]
 	own := s.limit
 	f.until(ms)
 	f.submit(2, 0, 0, 1)
@@ -804,24 +795,24 @@
 	}
 	last := f.sent[len(f.sent)-1].id
 	f.until(20 * ms)
-	f.finish(last, OK, -1)
+	f.finish(last, StatusOK, -1)
 	f.until(250 * ms)
-	if r := f.g.requests[1]; r == nil || !r.lost() || !slices.Contains(f.cancels, 1) {
+	if r := f.g.requests[1]; r == nil || !r.overtaken() || !slices.Contains(f.cancels, 1) {
 		t.Fatalf("not moved: %v", f.log)
 	}
-	if s.limit < own || s.fails != 0 {
-		t.Errorf("the server's bound fell from %v to %v, %d failures", own, s.limit, s.fails)
+	if s.limit < own || s.failures != 0 {
+		t.Errorf("the server's bound fell from %v to %v, %d failures", own, s.limit, s.failures)
 	}
 }
 
 // i6a2346: while pressed, a request that cannot be in time costs no work.
 func TestTooLateIsRefusedBeforeItCostsWork(t *testing.T) {
 	f := start(config(), 3)
-	f.g.perUnit, f.g.pressed, f.g.pressure = 0.6, true, 1
+	f.g.latencyPerUnit, f.g.overloaded, f.g.pressure = 0.6, true, 1
 	if f.submit(1, 0, 9, 1); len(f.refused) != 1 || len(f.sent) != 0 {
 		t.Errorf("%v", f.log)
 	}
-	f.g.perUnit = 0.1
+	f.g.latencyPerUnit = 0.1
 	if f.submit(2, 0, 9, 1); len(f.sent) != 1 {
 		t.Errorf("%v", f.log)
 	}
@@ -830,12 +821,12 @@
 // The bound keeps latency low, so latency alone no longer shows pressure.
 func TestNoRoomIsPressure(t *testing.T) {
 	f := start(config(), 1)
-	f.g.servers[1].limit, f.g.servers[1].outN, f.g.servers[1].outUnits = 1, 1, 1
+	f.g.endpoints[1].limit, f.g.endpoints[1].inFlight, f.g.endpoints[1].inFlightUnits = 1, 1, 1
 	for id := RequestID(1); id <= 10; id++ {
 		f.submit(id, 0, 9, 1)
 	}
 	f.until(400 * ms)
-	if !f.g.pressed {
+	if !f.g.overloaded {
 		t.Errorf("pressure %v after every request found no room", f.g.pressure)
 	}
 }
@@ -843,11 +834,11 @@
 // Overload inside the quotas: cheap work leaves the last of a server's room to dear work.
 func TestCheapWorkYieldsWhilePressed(t *testing.T) {
 	cfg := config()
-	cfg.Plans[1].Price = 0.2
+	cfg.Plans[1].PriceFactor = 0.2
 	f := start(cfg, 1)
-	s := f.g.servers[1]
-	f.g.pressed, f.g.pressure = true, 1
-	s.limit, s.outN, s.outUnits, s.heard = 4, 2, 2, 0
+	s := f.g.endpoints[1]
+	f.g.overloaded, f.g.pressure = true, 1
+	s.limit, s.inFlight, s.inFlightUnits, s.lastResponse = 4, 2, 2, 0
 	f.submit(1, 0, 1, 1) // plan 1 earns a fifth of plan 0
 	if len(f.sent) != 0 {
 		t.Fatalf("cheap work took the last room: %v", f.log)
@@ -855,7 +846,7 @@
 	if f.submit(2, 0, 0, 1); len(f.sent) != 1 {
 		t.Errorf("dear work found no room: %v", f.log)
 	}
-	s.outN, s.outUnits = 0, 0
+	s.inFlight, s.inFlightUnits = 0, 0
 	if f.until(100 * ms); len(f.sent) != 2 {
 		t.Errorf("cheap work is starved on an idle server: %v", f.log)
 	}
@@ -865,14 +856,14 @@
 func TestServerComesBackAfterLeavingWithWorkOut(t *testing.T) {
 	f := start(config(), 1)
 	f.submit(1, 2, 9, 1)
-	f.g.Roster(0, RosterDelta, []Server{{ID: 1, State: Gone}})
-	f.g.Roster(0, RosterDelta, []Server{{ID: 1, Weight: 1, State: Ready}})
-	f.finish(1, OK, -1)
+	f.g.UpdateEndpoints(0, UpdateDelta, []Endpoint{{ID: 1, State: StateRemoved}})
+	f.g.UpdateEndpoints(0, UpdateDelta, []Endpoint{{ID: 1, Weight: 1, State: StateReady}})
+	f.finish(1, StatusOK, -1)
 	if f.submit(2, 0, 9, 1); len(f.sent) != 2 {
 		t.Errorf("%v", f.log)
 	}
-	f.g.Roster(0, RosterDelta, []Server{{ID: 1, State: Gone}})
-	if f.finish(2, OK, -1); len(f.g.servers) != 0 {
+	f.g.UpdateEndpoints(0, UpdateDelta, []Endpoint{{ID: 1, State: StateRemoved}})
+	if f.finish(2, StatusOK, -1); len(f.g.endpoints) != 0 {
 		t.Error("a server that has gone is kept for ever")
 	}
 }
@@ -881,8 +872,8 @@
 func TestStreamsAreLeftAlone(t *testing.T) {
 	f := start(config(), 2)
 	f.submit(1, 0, 9, 1)
-	s := f.g.servers[f.sent[0].to]
-	f.g.Opened(0, 1, 0, s.ID, 0)
+	s := f.g.endpoints[f.sent[0].to]
+	f.g.ResponseStarted(0, 1, 0, s.ID, 0)
 	before := s.limit
 	f.until(1900 * ms)
 	if len(f.cancels) != 0 || s.limit != before {
@@ -892,7 +883,7 @@
 
 func TestOpenAttemptQuotaIsSplit(t *testing.T) {
 	cfg := config()
-	cfg.Plans[0] = Plan{AtOnce: 4, OverCost: 0.5}
+	cfg.Plans[0] = Plan{MaxConcurrent: 4, OverQuotaCost: 0.5}
 	f := start(cfg, 3)
 	for id := RequestID(1); id <= 3; id++ {
 		f.submit(id, 0, 0, 1)
@@ -900,7 +891,7 @@
 	if len(f.sent) != 2 || len(f.refused) != 1 { // half of four
 		t.Errorf("%v", f.log)
 	}
-	f.finish(1, OK, -1)
+	f.finish(1, StatusOK, -1)
 	if f.submit(4, 0, 0, 1); len(f.sent) != 3 {
 		t.Errorf("an answer frees no place: %v", f.log)
 	}
@@ -909,21 +900,21 @@
 // Settings and events that no site should have must not panic, and each request still gets its answer.
 func TestAbsurdSettingsAreHarmless(t *testing.T) {
 	for i, cfg := range []Config{
-		{Classes: []Class{{}}, Plans: []Plan{{Quota: 1}}},
-		{Number: 9, Gateways: 3, Classes: []Class{{Aim: time.Second}}, Plans: []Plan{{Quota: 1, CeilingRate: 1}}},
-		{Number: -4, Gateways: -1, MeterPeriod: -1, WarmWithin: time.Second, Classes: []Class{{Aim: time.Second}}},
+		{Classes: []Class{{}}, Plans: []Plan{{QuotaRate: 1}}},
+		{GatewayIndex: 9, GatewayCount: 3, Classes: []Class{{LatencyObjective: time.Second}}, Plans: []Plan{{QuotaRate: 1, CeilingRate: 1}}},
+		{GatewayIndex: -4, GatewayCount: -1, MeterPeriod: -1, WarmUpDuration: time.Second, Classes: []Class{{LatencyObjective: time.Second}}},
 	} {
 		f := &fake{}
 		f.g = New(cfg, f)
 		f.g.Start(0)
-		f.g.Roster(0, RosterFull, nil)
-		f.g.Submit(0, Request{ID: 1, Left: time.Second, Units: 1})
-		f.g.Roster(0, RosterFull, []Server{{ID: 1, State: Ready, Weight: math.NaN(), Started: time.Millisecond}})
-		f.g.Submit(f.now, Request{ID: 2, Plan: -7, Left: time.Second, Width: -3, First: 99})
+		f.g.UpdateEndpoints(0, UpdateFull, nil)
+		f.g.Submit(0, Request{ID: 1, TimeLeft: time.Second, Units: 1})
+		f.g.UpdateEndpoints(0, UpdateFull, []Endpoint{{ID: 1, State: StateReady, Weight: math.NaN(), StartedAt: time.Millisecond}})
+		f.g.Submit(f.now, Request{ID: 2, Plan: -7, TimeLeft: time.Second, SetSize: -3, SetFirst: 99})
 		f.until(500 * ms)
 		for n := 0; n < 2; n++ { // the second time is a duplicate
 			for _, s := range f.sent {
-				f.g.Finished(f.now, Outcome{ID: s.id, Server: s.to, Took: ms, Done: true, Metered: true, Use: math.NaN()})
+				f.g.AttemptFinished(f.now, AttemptResult{Request: s.id, Endpoint: s.to, Latency: ms, RequestDone: true, HasUsage: true, Usage: math.NaN()})
 			}
 		}
 		f.until(3 * time.Second)
@@ -939,20 +930,20 @@
 	f := start(config(), 2)
 	f.submit(1, 0, 0, 1)
 	pass, patience := f.timers[0].token, f.timers[1].token
-	if !f.g.Wants(pass) || !f.g.Wants(patience) {
+	if !f.g.TimerPending(pass) || !f.g.TimerPending(patience) {
 		t.Error("a timer in use is disowned")
 	}
-	f.finish(1, OK, -1)
-	if !f.g.Wants(pass) || f.g.Wants(patience) {
+	f.finish(1, StatusOK, -1)
+	if !f.g.TimerPending(pass) || f.g.TimerPending(patience) {
 		t.Error("after the answer only the pass is wanted")
 	}
 	f.submit(2, 0, 2, 1) // waits for the ceiling's part
 	release := f.timers[len(f.timers)-1].token
-	if !f.g.Wants(release) {
+	if !f.g.TimerPending(release) {
 		t.Error("a held request's timer is disowned")
 	}
-	f.g.ClientLeft(f.now, 2)
-	if f.g.Wants(release) {
+	f.g.ClientDisconnected(f.now, 2)
+	if f.g.TimerPending(release) {
 		t.Error("the timer of a client that has gone is wanted")
 	}
 }
@@ -967,14 +958,14 @@
 			t.Fatalf("request %d was not sent", id)
 		}
 		to := f.sent[len(f.sent)-1].to
-		f.g.ClientLeft(f.now, id)
+		f.g.ClientDisconnected(f.now, id)
 		if id%2 == 0 {
-			f.g.Roster(f.now, RosterDelta, []Server{{ID: to, State: Gone}})
+			f.g.UpdateEndpoints(f.now, UpdateDelta, []Endpoint{{ID: to, State: StateRemoved}})
 		}
-		f.g.Finished(f.now, Outcome{ID: id, Server: to, Status: Cancelled, Done: true})
-		f.g.Roster(f.now, RosterDelta, []Server{{ID: to, Weight: 1, State: Ready}})
-		if f.g.outUnits != 0 || f.g.servers[to].outUnits != 0 || f.g.servers[to].outN != 0 || len(f.g.strays) != 0 {
-			t.Fatalf("after %d: %v units out, %d strays", id, f.g.outUnits, len(f.g.strays))
+		f.g.AttemptFinished(f.now, AttemptResult{Request: id, Endpoint: to, Status: StatusCancelled, RequestDone: true})
+		f.g.UpdateEndpoints(f.now, UpdateDelta, []Endpoint{{ID: to, Weight: 1, State: StateReady}})
+		if f.g.inFlightUnits != 0 || f.g.endpoints[to].inFlightUnits != 0 || f.g.endpoints[to].inFlight != 0 || len(f.g.orphans) != 0 {
+			t.Fatalf("after %d: %v units out, %d strays", id, f.g.inFlightUnits, len(f.g.orphans))
 		}
 		f.until(f.now + 2*time.Second)
 	}
@@ -990,7 +981,7 @@
 	if len(f.sent) != 1 {
 		t.Fatal("a newcomer's first request is not sent at once")
 	}
-	if got, want := f.g.customers[3].ceiling, c.CeilingBurst/2-4; got != want {
+	if got, want := f.g.customers[3].ceilingTokens, c.CeilingBurst/2-4; got != want {
 		t.Errorf("its part of the ceiling holds %v, want %v", got, want)
 	}
 }
@@ -999,9 +990,9 @@
 func TestWhatIsHeldAtTheEndIsAnswered(t *testing.T) {
 	f := start(config(), 3)
 	overQuota(f)
-	f.g.peakUse = 1e9
+	f.g.peakUsage = 1e9
 	f.submit(2, 0, 0, 1) // held for 100 ms
-	f.g.EndBy(f.now, f.now+10*ms)
+	f.g.BeginShutdown(f.now, f.now+10*ms)
 	f.until(f.now + 20*ms)
 	if len(f.sent) != 1 || !reflect.DeepEqual(f.refused, []RequestID{2}) || len(f.g.requests) != 0 {
 		t.Errorf("%v", f.log)
@@ -1013,40 +1004,40 @@
 func TestALeaverIsNotSentOn(t *testing.T) {
 	for _, cancel := range []bool{true, false} {
 		cfg := config()
-		cfg.Cancel = cancel
+		cfg.CanCancel = cancel
 		left := func(what string, f *fake, id RequestID, sent int) {
 			t.Helper()
-			f.g.ClientLeft(f.now, id)
+			f.g.ClientDisconnected(f.now, id)
 			if f.until(f.now + 5*time.Second); len(f.sent) != sent || len(f.refused)+len(f.failed) != 0 || len(f.g.requests) != 0 {
 				t.Errorf("%s, cancel %v: %v", what, cancel, f.log)
 			}
 		}
 		f := start(cfg, 3)
 		overQuota(f)
-		f.g.peakUse = 1e9
+		f.g.peakUsage = 1e9
 		f.submit(2, 0, 0, 1)
 		left("held", f, 2, 1)
 
 		f = start(cfg, 3)
-		f.g.restUntil = 100 * ms
+		f.g.pausedUntil = 100 * ms
 		f.submit(1, 0, 0, 1)
 		left("waiting for a server", f, 1, 0)
 
 		f = start(cfg, 3)
 		f.submit(1, 0, 0, 1)
-		f.g.ClientLeft(f.now, 1)
-		f.g.Finished(f.now, Outcome{ID: 1, Server: f.sent[0].to, Status: Full, Done: true})
+		f.g.ClientDisconnected(f.now, 1)
+		f.g.AttemptFinished(f.now, AttemptResult{Request: 1, Endpoint: f.sent[0].to, Status: StatusRejected, RequestDone: true})
 		left("between attempts", f, 1, 1)
 
 		f = start(cfg, 3)
-		f.g.perUnit = 0.01
+		f.g.latencyPerUnit = 0.01
 		f.submit(1, 0, 0, 1)
-		f.g.ClientLeft(f.now, 1) // its patience runs out, and then the attempt ends one way or another
+		f.g.ClientDisconnected(f.now, 1) // its patience runs out, and then the attempt ends one way or another
 		f.until(f.now + time.Second)
-		f.g.Finished(f.now, Outcome{ID: 1, Server: f.sent[0].to, Status: TimedOut, Done: true})
+		f.g.AttemptFinished(f.now, AttemptResult{Request: 1, Endpoint: f.sent[0].to, Status: StatusTimedOut, RequestDone: true})
 		left("past its patience", f, 1, 1)
-		if len(f.g.strays) != 0 || f.g.outUnits != 0 {
-			t.Errorf("%d strays, %v units out", len(f.g.strays), f.g.outUnits)
+		if len(f.g.orphans) != 0 || f.g.inFlightUnits != 0 {
+			t.Errorf("%d strays, %v units out", len(f.g.orphans), f.g.inFlightUnits)
 		}
 	}
 }
@@ -1073,12 +1064,12 @@
 		passed, again := 0, 0
 		for n := range 300 {
 			cfg := config()
-			cfg.Gateways, cfg.Number, cfg.Seed = 300, n, uint64(n)
-			cfg.Plans = []Plan{{Quota: k.quota, Burst: 10, Price: 1, OverCost: k.cost}}
+			cfg.GatewayCount, cfg.GatewayIndex, cfg.Seed = 300, n, uint64(n)
+			cfg.Plans = []Plan{{QuotaRate: k.quota, Burst: 10, PriceFactor: 1, OverQuotaCost: k.cost}}
 			f := start(cfg, 3)
 			for id := RequestID(1); id <= 5; id++ {
 				f.now += 500 * ms
-				f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 9, Left: 2 * time.Second, Units: k.units, Width: k.width})
+				f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 9, TimeLeft: 2 * time.Second, Units: k.units, SetSize: k.width})
 				if id == 1 {
 					passed += len(f.sent)
 					again -= len(f.sent)
@@ -1100,18 +1091,18 @@
 	passed := func(cost, other float64) (n int) {
 		for seed := range uint64(300) {
 			cfg := config()
-			cfg.Gateways, cfg.Seed = 300, seed
-			cfg.Plans = []Plan{{Quota: 2, Burst: 10, Price: 1, OverCost: cost}, {Quota: 2, Burst: 10, Price: 1, OverCost: other}}
+			cfg.GatewayCount, cfg.Seed = 300, seed
+			cfg.Plans = []Plan{{QuotaRate: 2, Burst: 10, PriceFactor: 1, OverQuotaCost: cost}, {QuotaRate: 2, Burst: 10, PriceFactor: 1, OverQuotaCost: other}}
 			f := start(cfg, 3)
 			for id := RequestID(2); id <= 20; id++ { // others ask four times as much
-				f.g.Submit(f.now, Request{ID: id, Plan: 1, Customer: CustomerID(id), Left: 2 * time.Second, Units: 2, Width: 150})
+				f.g.Submit(f.now, Request{ID: id, Plan: 1, Customer: CustomerID(id), TimeLeft: 2 * time.Second, Units: 2, SetSize: 150})
 				if k := len(f.sent); k > 0 && f.sent[k-1].id == id {
-					f.finish(id, OK, 0.3)
+					f.finish(id, StatusOK, 0.3)
 				}
 			}
 			before := len(f.sent)
 			f.until(time.Second)
-			f.g.Submit(f.now, Request{ID: 1, Plan: 0, Customer: 1, Left: 2 * time.Second, Units: 2, Width: 150})
+			f.g.Submit(f.now, Request{ID: 1, Plan: 0, Customer: 1, TimeLeft: 2 * time.Second, Units: 2, SetSize: 150})
 			if k := len(f.sent); k > before && f.sent[k-1].id == 1 {
 				n++
 			}
@@ -1130,12 +1121,12 @@
 func TestACostlyCustomerIsFoundBeyondItsQuota(t *testing.T) {
 	for _, cost := range []float64{0.5, 1.2} {
 		cfg := config()
-		cfg.Gateways, cfg.Plans[0].OverCost = 300, cost
+		cfg.GatewayCount, cfg.Plans[0].OverQuotaCost = 300, cost
 		f := start(cfg, 3)
-		c := f.g.customerOf(0, &Request{Customer: 5, Plan: 0, Width: 150})
-		f.g.meter(time.Second, c, 3)
-		if c.store != 0 || c.refuse < 0.8 {
-			t.Errorf("cost %v: a store of %v units, refused by %v at a first reading of three quotas", cost, c.store, c.refuse)
+		c := f.g.customerFor(0, &Request{Customer: 5, Plan: 0, SetSize: 150})
+		f.g.recordUsage(time.Second, c, 3)
+		if c.fleetTokens != 0 || c.rejectProbability < 0.8 {
+			t.Errorf("cost %v: a store of %v units, refused by %v at a first reading of three quotas", cost, c.fleetTokens, c.rejectProbability)
 		}
 	}
 }
@@ -1152,7 +1143,7 @@
 	now        time.Duration
 	next       RequestID
 	out        []outAt
-	sends      map[ServerID][]unitsAt
+	sends      map[EndpointID][]unitsAt
 	alive      int     // the first so many gateways get all requests
 	bears      float64 // units a second that all servers answer; what is beyond is declined
 }
@@ -1161,7 +1152,7 @@
 	at time.Duration
 	f  *fake
 	id RequestID
-	to ServerID
+	to EndpointID
 }
 
 type unitsAt struct {
@@ -1169,12 +1160,12 @@
 	units float64
 }
 
-func (c *coldFleet) list(cold bool) (list []Server) {
+func (c *coldFleet) list(cold bool) (list []Endpoint) {
 	for i := range c.warm {
-		list = append(list, Server{ID: ServerID(i + 1), Weight: 1, State: Ready})
+		list = append(list, Endpoint{ID: EndpointID(i + 1), Weight: 1, State: StateReady})
 	}
 	for i := 0; cold && i < c.cold; i++ {
-		list = append(list, Server{ID: ServerID(1000 + i), Weight: 1, State: Ready, Started: coldStart})
+		list = append(list, Endpoint{ID: EndpointID(1000 + i), Weight: 1, State: StateReady, StartedAt: coldStart})
 	}
 	return list
 }
@@ -1182,11 +1173,11 @@
 // begin starts gateway n, or starts it anew.
 func (c *coldFleet) begin(n int, cold bool) {
 	cfg := c.cfg
-	cfg.Number, cfg.Seed = n, c.rng.Uint64()
+	cfg.GatewayIndex, cfg.Seed = n, c.rng.Uint64()
 	f := &fake{now: c.now}
 	f.g = New(cfg, f)
 	f.g.Start(c.now)
-	f.g.Roster(c.now, RosterCached, c.list(cold))
+	f.g.UpdateEndpoints(c.now, UpdateCached, c.list(cold))
 	c.gateways[n] = f
 }
 
@@ -1204,16 +1195,16 @@
 			o := c.out[0]
 			c.out = c.out[1:]
 			o.f.until(o.at)
-			status := OK
+			status := StatusOK
 			if c.rng.Float64()*rate > c.bears {
-				status = Full
+				status = StatusRejected
 			}
-			o.f.g.Finished(o.at, Outcome{ID: o.id, Server: o.to, Status: status, Took: 100 * ms, Done: true})
+			o.f.g.AttemptFinished(o.at, AttemptResult{Request: o.id, Endpoint: o.to, Status: status, Latency: 100 * ms, RequestDone: true})
 		}
 		for n, told := range c.told {
 			if told > c.now && told <= at {
 				c.gateways[n].until(told)
-				c.gateways[n].g.Roster(told, RosterDelta, c.list(true)[c.warm:])
+				c.gateways[n].g.UpdateEndpoints(told, UpdateDelta, c.list(true)[c.warm:])
 			}
 		}
 		if c.now = at; end {
@@ -1223,7 +1214,7 @@
 		f.until(at)
 		c.next++
 		u, sent := units(), len(f.sent)
-		f.g.Submit(at, Request{ID: c.next, Plan: 9, Customer: CustomerID(c.next), Left: time.Second, Units: u, Width: 1})
+		f.g.Submit(at, Request{ID: c.next, Plan: 9, Customer: CustomerID(c.next), TimeLeft: time.Second, Units: u, SetSize: 1})
 		if len(f.sent) > sent {
 			to := f.sent[sent].to
 			c.out = append(c.out, outAt{at + 100*ms, f, c.next, to})
@@ -1262,10 +1253,10 @@
 		for _, processes := range []int{20, 30, 350} {
 			rng := rand.New(rand.NewPCG(uint64(processes), 11))
 			cfg := config()
-			cfg.Gateways, cfg.ColdFrom, cfg.WarmWithin, cfg.FallMultiple, cfg.FallWindow = processes, 0.2, 12*time.Second, 2.5, 3*time.Second
-			cfg.Classes[0].Aim = 2 * time.Second
+			cfg.GatewayCount, cfg.WarmUpInitialCapacity, cfg.WarmUpDuration, cfg.WarmUpOverloadFactor, cfg.WarmUpOverloadWindow = processes, 0.2, 12*time.Second, 2.5, 3*time.Second
+			cfg.Classes[0].LatencyObjective = 2 * time.Second
 			c := &coldFleet{t: t, rng: rng, cfg: cfg, warm: warm, cold: cold, gateways: make([]*fake, processes),
-				told: make([]time.Duration, processes), sends: map[ServerID][]unitsAt{}, alive: processes, bears: capacity * warm}
+				told: make([]time.Duration, processes), sends: map[EndpointID][]unitsAt{}, alive: processes, bears: capacity * warm}
 			units, mean := func() float64 { return mixed(rng) }, 1.8
 			if k.large {
 				units, mean = func() float64 { return 4 }, 4.0
@@ -1290,9 +1281,9 @@
 			}
 			c.play(coldStart, k.load*capacity*warm, units, mean)
 			if k.quiet {
-				c.play(coldStart+3*cfg.FallWindow, 1, units, mean)
+				c.play(coldStart+3*cfg.WarmUpOverloadWindow, 1, units, mean)
 			}
-			c.play(coldStart+cfg.WarmWithin, k.surge*capacity*warm, units, mean)
+			c.play(coldStart+cfg.WarmUpDuration, k.surge*capacity*warm, units, mean)
 			if processes > 100 {
 				k.least /= 5 // each meets a request in four seconds, and its store begins with the first
 			}
@@ -1310,16 +1301,16 @@
 		for _, x := range sends {
 			sum += x.units
 			used += x.units
-			for sends[first].at <= x.at-c.cfg.FallWindow {
+			for sends[first].at <= x.at-c.cfg.WarmUpOverloadWindow {
 				sum -= sends[first].units
 				first++
 			}
-			warmth := c.cfg.ColdFrom + (1-c.cfg.ColdFrom)*(x.at-coldStart).Seconds()/c.cfg.WarmWithin.Seconds()
-			n := c.cfg.FallMultiple * capacity * warmth * c.cfg.FallWindow.Seconds() / mean
+			warmth := c.cfg.WarmUpInitialCapacity + (1-c.cfg.WarmUpInitialCapacity)*(x.at-coldStart).Seconds()/c.cfg.WarmUpDuration.Seconds()
+			n := c.cfg.WarmUpOverloadFactor * capacity * warmth * c.cfg.WarmUpOverloadWindow.Seconds() / mean
 			worst = max(worst, (sum/mean-n)/(2*math.Sqrt(n)+2))
 		}
 	}
-	budget := c.cfg.FallMultiple * capacity * (1 + c.cfg.ColdFrom) / 2 * c.cfg.WarmWithin.Seconds() * float64(c.cold)
+	budget := c.cfg.WarmUpOverloadFactor * capacity * (1 + c.cfg.WarmUpInitialCapacity) / 2 * c.cfg.WarmUpDuration.Seconds() * float64(c.cold)
 	if share := used / budget; worst > 1 || share < least {
 		c.t.Errorf("%s, %d processes: at worst %.2f of the chance allowed beyond the budget; %.2f of the ramp used, want %.2f at least",
 			name, len(c.gateways), worst, share, least)
@@ -1332,22 +1323,22 @@
 // is a hundred thousand steps a request: the sum is kept, and has to follow every kind of news.
 func TestTheReadyWeightFollowsTheRoster(t *testing.T) {
 	f := start(config(), 3)
-	f.g.sentRate = 10
-	cold := func() float64 { return f.g.coldRate(0, &server{Server: Server{Weight: 1}}) }
+	f.g.forwardRate = 10
+	cold := func() float64 { return f.g.warmUpRate(0, &endpoint{Endpoint: Endpoint{Weight: 1}}) }
 	for _, k := range []struct {
-		kind RosterKind
-		list []Server
+		kind UpdateKind
+		list []Endpoint
 		want float64 // ready weight
 	}{
-		{RosterDelta, []Server{{ID: 4, Weight: 3, State: Ready}}, 6},
-		{RosterDelta, []Server{{ID: 4, Weight: 5, State: Ready}}, 8},
-		{RosterDelta, []Server{{ID: 1, Weight: 1, State: Draining}, {ID: 2, State: Gone}}, 6},
-		{RosterFailed, nil, 6},
-		{RosterFull, []Server{{ID: 9, Weight: 2, State: Ready}}, 2},
-		{RosterDelta, []Server{{ID: 9, State: Gone}, {ID: 10, State: Ready}}, 1},
+		{UpdateDelta, []Endpoint{{ID: 4, Weight: 3, State: StateReady}}, 6},
+		{UpdateDelta, []Endpoint{{ID: 4, Weight: 5, State: StateReady}}, 8},
+		{UpdateDelta, []Endpoint{{ID: 1, Weight: 1, State: StateDraining}, {ID: 2, State: StateRemoved}}, 6},
+		{UpdateFailed, nil, 6},
+		{UpdateFull, []Endpoint{{ID: 9, Weight: 2, State: StateReady}}, 2},
+		{UpdateDelta, []Endpoint{{ID: 9, State: StateRemoved}, {ID: 10, State: StateReady}}, 1},
 	} {
-		f.g.Roster(0, k.kind, k.list)
-		if want := coldMargin * 2 * 10 / k.want; math.Abs(cold()-want) > 1e-9 {
+		f.g.UpdateEndpoints(0, k.kind, k.list)
+		if want := warmUpMargin * 2 * 10 / k.want; math.Abs(cold()-want) > 1e-9 {
 			t.Errorf("%+v: %v units a second for a cold server, want %v", k, cold(), want)
 		}
 	}
@@ -1357,16 +1348,16 @@
 // for the only one, each would feed its own store with nearly the whole quota.
 func TestAReadingOfNoneMakesNoGatewayTheOnlyOne(t *testing.T) {
 	cfg := config()
-	cfg.Gateways, cfg.MeterPeriod = 300, time.Second
-	cfg.Plans = []Plan{{Quota: 8, Burst: 30, Price: 1, OverCost: 1}}
+	cfg.GatewayCount, cfg.MeterPeriod = 300, time.Second
+	cfg.Plans = []Plan{{QuotaRate: 8, Burst: 30, PriceFactor: 1, OverQuotaCost: 1}}
 	sent := 0
 	for cfg.Seed = 1; cfg.Seed <= 20; cfg.Seed++ {
 		f := start(cfg, 3)
 		for id := RequestID(1); id <= 20; id++ {
 			f.until(f.now + 200*ms)
-			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, Left: time.Second, Units: 2, Width: 200})
+			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, TimeLeft: time.Second, Units: 2, SetSize: 200})
 			if n := len(f.sent); n > 0 && f.sent[n-1].id == id {
-				f.finish(id, OK, 0)
+				f.finish(id, StatusOK, 0)
 			}
 		}
 		sent += len(f.sent)
@@ -1382,18 +1373,18 @@
 func TestReadingsCutTheChanceOfUnknownRequests(t *testing.T) {
 	tighter := func(use, cost float64, answers int, after time.Duration) float64 {
 		cfg := config()
-		cfg.Gateways = 300
-		cfg.Plans = []Plan{{Quota: 10, Burst: 20, Price: 1, OverCost: cost}}
+		cfg.GatewayCount = 300
+		cfg.Plans = []Plan{{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: cost}}
 		f := start(cfg, 3)
-		c := f.g.customerOf(0, &Request{Customer: 5, Width: 150})
-		r := &request{Request: Request{Units: 2}, class: &cfg.Classes[0], cust: c}
-		f.g.ask(r)
+		c := f.g.customerFor(0, &Request{Customer: 5, SetSize: 150})
+		r := &request{Request: Request{Units: 2}, class: &cfg.Classes[0], customer: c}
+		f.g.recordRequested(r)
 		for range answers {
-			f.g.meter(f.now, c, use)
-			f.g.tell(r)
+			f.g.recordUsage(f.now, c, use)
+			f.g.recordOveruse(r)
 		}
 		f.until(f.now + after)
-		return f.g.tighter()
+		return f.g.overuseCorrection()
 	}
 	if got := tighter(0.5, 1, 40, 0); got != 1 {
 		t.Errorf("cut to %v though all is inside", got)
@@ -1401,7 +1392,7 @@
 	if got := tighter(4, 0.02, 40, 0); got != 1 {
 		t.Errorf("cut to %v though overuse costs next to nothing", got)
 	}
-	one, many, old := tighter(4, 1, 1, 0), tighter(4, 1, 40, 0), tighter(4, 1, 40, 6*tellFade)
+	one, many, old := tighter(4, 1, 1, 0), tighter(4, 1, 40, 0), tighter(4, 1, 40, 6*overuseDecay)
 	if one < 0.6 || one >= 1 || many > 0.3 || many <= 0 || old < 0.8 {
 		t.Errorf("cut to %v by one reading of four quotas, to %v by forty, to %v once that has faded", one, many, old)
 	}
@@ -1415,12 +1406,12 @@
 	passed := func(cost, beyond float64) (n int) {
 		for seed := range uint64(200) {
 			cfg := config()
-			cfg.Gateways, cfg.Seed = 300, seed
-			cfg.Plans = []Plan{{Quota: 10, Burst: 20, Price: 1, OverCost: 1}, {Quota: 10, Burst: 20, Price: 1, OverCost: 1}}
+			cfg.GatewayCount, cfg.Seed = 300, seed
+			cfg.Plans = []Plan{{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: 1}, {QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: 1}}
 			f := start(cfg, 3)
-			f.g.told, f.g.toldCost, f.g.toldCount = 600, cost*600, 100
-			f.g.tellings[0], f.g.tellings[1] = telling{200, 200 * beyond}, telling{200, 200 * (0.4 - beyond)}
-			f.g.Submit(0, Request{ID: 1, Customer: 9, Left: time.Second, Units: 2, Width: 150})
+			f.g.meteredValue, f.g.meteredOveruseCost, f.g.meteredCount = 600, cost*600, 100
+			f.g.planOveruse[0], f.g.planOveruse[1] = overuseStats{200, 200 * beyond}, overuseStats{200, 200 * (0.4 - beyond)}
+			f.g.Submit(0, Request{ID: 1, Customer: 9, TimeLeft: time.Second, Units: 2, SetSize: 150})
 			n += len(f.sent)
 		}
 		return n
@@ -1437,18 +1428,18 @@
 // more; a few answers move little, and without any all plans weigh alike.
 func TestPlansWeighAsTheirReadingsTell(t *testing.T) {
 	cfg := config()
-	cfg.Gateways = 300
-	cfg.Plans = []Plan{{Quota: 10, Burst: 20, Price: 1, OverCost: 1}, {Quota: 10, Burst: 20, Price: 1, OverCost: 1}}
+	cfg.GatewayCount = 300
+	cfg.Plans = []Plan{{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: 1}, {QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: 1}}
 	f := start(cfg, 3)
 	weights := func(answers int) (float64, float64) {
 		for range answers {
 			for plan, use := range []float64{0.5, 3} {
-				c := f.g.customerOf(0, &Request{Customer: CustomerID(plan), Plan: plan, Width: 150})
-				f.g.meter(f.now, c, use)
-				f.g.tell(&request{Request: Request{Units: 2}, class: &cfg.Classes[0], cust: c})
+				c := f.g.customerFor(0, &Request{Customer: CustomerID(plan), Plan: plan, SetSize: 150})
+				f.g.recordUsage(f.now, c, use)
+				f.g.recordOveruse(&request{Request: Request{Units: 2}, class: &cfg.Classes[0], customer: c})
 			}
 		}
-		return f.g.planRisk(&f.g.tellings[0]), f.g.planRisk(&f.g.tellings[1])
+		return f.g.planOveruseRatio(&f.g.planOveruse[0]), f.g.planOveruseRatio(&f.g.planOveruse[1])
 	}
 	if calm, greedy := weights(0); calm != 1 || greedy != 1 {
 		t.Errorf("weights of %v and %v before any answer", calm, greedy)
@@ -1459,7 +1450,7 @@
 	if calm, greedy := weights(40); calm > 0.3 || calm <= 0 || greedy < 1.7 || greedy > 2 {
 		t.Errorf("weights of %v and %v after forty more", calm, greedy)
 	}
-	if calm, greedy := f.g.planRisk(&f.g.tellings[2]), f.g.planRisk(&telling{}); calm != 1 || greedy != 1 {
+	if calm, greedy := f.g.planOveruseRatio(&f.g.planOveruse[2]), f.g.planOveruseRatio(&overuseStats{}); calm != 1 || greedy != 1 {
 		t.Errorf("weights of %v and %v for plans of which nothing was told", calm, greedy)
 	}
 }
@@ -1469,14 +1460,14 @@
 func TestCheapOveruseLocksNoCustomerOut(t *testing.T) {
 	sent := func(cost float64) int {
 		cfg := config()
-		cfg.Gateways, cfg.MeterPeriod, cfg.Seed = 300, 0, 2
-		cfg.Plans = []Plan{{Quota: 20, Burst: 50, Price: 1, OverCost: cost}}
+		cfg.GatewayCount, cfg.MeterPeriod, cfg.Seed = 300, 0, 2
+		cfg.Plans = []Plan{{QuotaRate: 20, Burst: 50, PriceFactor: 1, OverQuotaCost: cost}}
 		f := start(cfg, 3)
 		for id := RequestID(1); id <= 10; id++ {
 			f.until(f.now + time.Second)
-			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, Left: time.Second, Units: 2, Width: 150})
+			f.g.Submit(f.now, Request{ID: id, Plan: 0, Customer: 5, TimeLeft: time.Second, Units: 2, SetSize: 150})
 			if n := len(f.sent); n > 0 && f.sent[n-1].id == id {
-				f.g.Finished(f.now, Outcome{ID: id, Server: f.sent[n-1].to, Took: 50 * ms, Done: true})
+				f.g.AttemptFinished(f.now, AttemptResult{Request: id, Endpoint: f.sent[n-1].to, Latency: 50 * ms, RequestDone: true})
 			}
 		}
 		return len(f.sent)
--- a/decide/trace_test.go
+++ b/policy/trace_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"container/heap"
@@ -32,7 +32,7 @@
 		{name: "small fleet", seed: 1, gateways: 3, servers: 8, rate: 120, change: func(*Config) {},
 			want: "ffc5651f112dff95e96541580f80b9ac34f6222350aeb40cba8a8ce9cb40f538"},
 		{name: "overloaded fleet", seed: 2, gateways: 2, servers: 4, rate: 160, change: func(c *Config) {
-			c.MostHeld, c.SendCap = 40, 3
+			c.MaxOpenRequests, c.MaxAttempts = 40, 3
 		}, want: "7118efc2d34d22120e94b9c07bbb85a2d49fe6fc773758ec2a2840c0baafc96e"},
 		{name: "large fleet", seed: 3, gateways: 40, servers: 24, rate: 400, change: func(c *Config) {
 			for i := range c.Plans {
@@ -41,16 +41,16 @@
 		}, want: "4a8e87eda052a0e858bcfe7844f3a6aeeaa06ffd14bdfa9487f0810e4a96b6cc"},
 		{name: "costly overuse", seed: 4, gateways: 24, servers: 12, rate: 250, change: func(c *Config) {
 			for i := range c.Plans {
-				c.Plans[i].Quota, c.Plans[i].Burst, c.Plans[i].OverCost = 2, 5, 1.2
+				c.Plans[i].QuotaRate, c.Plans[i].Burst, c.Plans[i].OverQuotaCost = 2, 5, 1.2
 			}
 		}, want: "ebd73379633c6d9b3cd14be42185e794eba43e61a8465d22e2d726a63c4356f5"},
 		{name: "no meter, no cancel, lists on request", seed: 5, gateways: 4, servers: 8, rate: 120,
 			change: func(c *Config) {
-				c.MeterPeriod, c.Cancel, c.OnRequest, c.RetryAfter, c.MostUnits = 0, false, true, false, 0
+				c.MeterPeriod, c.CanCancel, c.PolledEndpoints, c.SendRetryAfter, c.MaxRequestUnits = 0, false, true, false, 0
 			}, want: "0191bf5ab48bf9e0b95fe94c9fce1eb6ca334117b93d0da46f09aeeb40af0f28"},
 		{name: "open-request quotas and ceilings", seed: 6, gateways: 3, servers: 6, rate: 100, change: func(c *Config) {
-			c.Plans[0].AtOnce = 4
-			c.Plans[1].Quota, c.Plans[1].AtOnce = 0, 6
+			c.Plans[0].MaxConcurrent = 4
+			c.Plans[1].QuotaRate, c.Plans[1].MaxConcurrent = 0, 6
 			c.Plans[2].CeilingRate, c.Plans[2].CeilingBurst = 6, 12
 		}, want: "8580ab9d5c75715840bae332ae584d7d6f2c9001c89e8d83330e247c519761f6"},
 		{name: "greedy customers alone", seed: 7, gateways: 2, servers: 8, rate: 150, greedy: true,
@@ -83,7 +83,7 @@
 }
 
 type traceServer struct {
-	Server
+	Endpoint
 	slow   float64 // factor on its service time
 	busy   time.Duration
 	faulty bool
@@ -93,7 +93,7 @@
 type traceGateway struct {
 	world    *traceWorld
 	number   int
-	gw       *Gateway
+	gw       *Engine
 	requests map[RequestID]*traceRequest
 }
 
@@ -101,7 +101,7 @@
 	Request
 	attempts int
 	out      int // the attempt that is out, -1 without one
-	server   ServerID
+	server   EndpointID
 	sentAt   time.Duration
 }
 
@@ -128,30 +128,30 @@
 
 func newTraceWorld(day traceDay) *traceWorld {
 	cfg := config()
-	cfg.Gateways = day.gateways
-	cfg.Classes[1].Group = []Group{GroupAll, GroupZone, GroupCell}[day.seed%3]
+	cfg.GatewayCount = day.gateways
+	cfg.Classes[1].KeyScope = []KeyScope{KeyScopeFleet, KeyScopeZone, KeyScopeCell}[day.seed%3]
 	day.change(&cfg)
 	w := &traceWorld{day: day, cfg: cfg, rng: rand.New(rand.NewPCG(day.seed, 0)), now: time.Hour,
 		used: map[CustomerID]map[int64]float64{}, sum: sha256.New(), counts: map[string]int{}}
 	for i := range day.servers {
 		w.servers = append(w.servers, &traceServer{slow: 0.5 + w.rng.Float64(), faulty: i%6 == 5,
-			Server: Server{ID: ServerID(100 + i), Weight: float64(1 + i%2), State: Ready, Zone: i % 2, Cell: i % 3}})
+			Endpoint: Endpoint{ID: EndpointID(100 + i), Weight: float64(1 + i%2), State: StateReady, Zone: i % 2, Cell: i % 3}})
 	}
 	for i := range day.gateways {
 		g := &traceGateway{world: w, number: i, requests: map[RequestID]*traceRequest{}}
-		cfg.Number, cfg.Zone, cfg.Seed = i, i%2, day.seed*1000+uint64(i)
+		cfg.GatewayIndex, cfg.Zone, cfg.Seed = i, i%2, day.seed*1000+uint64(i)
 		g.gw = New(cfg, g)
 		g.gw.Start(w.now)
-		g.gw.Roster(w.now, RosterCached, w.list())
+		g.gw.UpdateEndpoints(w.now, UpdateCached, w.list())
 		w.gateways = append(w.gateways, g)
 	}
 	return w
 }
 
-func (w *traceWorld) list() []Server {
-	var out []Server
+func (w *traceWorld) list() []Endpoint {
+	var out []Endpoint
 	for _, s := range w.servers {
-		out = append(out, s.Server)
+		out = append(out, s.Endpoint)
 	}
 	return out
 }
@@ -167,7 +167,7 @@
 	w.after(2*time.Second, w.changeServers)
 	w.after(length-time.Second, func() {
 		for _, g := range w.gateways {
-			g.gw.EndBy(w.now, w.now+700*ms)
+			g.gw.BeginShutdown(w.now, w.now+700*ms)
 		}
 	})
 	for len(w.queue) > 0 && w.queue[0].at <= end {
@@ -191,8 +191,8 @@
 	width := 1 + number%w.day.gateways
 	plan := number % 4 // the last is not known
 	r := &traceRequest{out: -1, Request: Request{Class: w.rng.IntN(len(w.cfg.Classes)), Plan: plan,
-		Customer: CustomerID(number), Units: float64(1 + w.rng.IntN(4)), Width: width, First: number,
-		Left: time.Duration(100+w.rng.IntN(1900)) * ms}}
+		Customer: CustomerID(number), Units: float64(1 + w.rng.IntN(4)), SetSize: width, SetFirst: number,
+		TimeLeft: time.Duration(100+w.rng.IntN(1900)) * ms}}
 	g := w.gateways[(number+w.rng.IntN(width))%w.day.gateways]
 	w.nextID++
 	r.ID = w.nextID
@@ -207,29 +207,29 @@
 func (w *traceWorld) changeServers() {
 	w.after(1500*ms, w.changeServers)
 	s := w.servers[w.rng.IntN(len(w.servers))]
-	kind := RosterDelta
+	kind := UpdateDelta
 	switch w.rng.IntN(6) {
 	case 0:
-		s.State = Draining
+		s.State = StateDraining
 	case 1:
-		s.State = Gone
+		s.State = StateRemoved
 	case 2, 3:
-		s.State, s.Started = Ready, w.now
+		s.State, s.StartedAt = StateReady, w.now
 	case 4:
 		s.slow *= 4
 	default:
-		kind = RosterFull
+		kind = UpdateFull
 	}
-	list := []Server{s.Server}
-	if kind == RosterFull {
+	list := []Endpoint{s.Endpoint}
+	if kind == UpdateFull {
 		list = w.list()
 	}
 	for i, g := range w.gateways {
 		w.after(time.Duration(50*(i%8))*ms, func() {
 			if w.rng.IntN(10) == 0 {
-				g.gw.Roster(w.now, RosterFailed, nil)
+				g.gw.UpdateEndpoints(w.now, UpdateFailed, nil)
 			}
-			g.gw.Roster(w.now, kind, list)
+			g.gw.UpdateEndpoints(w.now, kind, list)
 		})
 	}
 }
@@ -241,24 +241,24 @@
 
 // reading is a customer's use in the last period that the meter has added up, against its quota.
 func (w *traceWorld) reading(r *traceRequest) (float64, bool) {
-	if w.cfg.MeterPeriod <= 0 || r.Plan >= len(w.cfg.Plans) || w.cfg.Plans[r.Plan].Quota <= 0 {
+	if w.cfg.MeterPeriod <= 0 || r.Plan >= len(w.cfg.Plans) || w.cfg.Plans[r.Plan].QuotaRate <= 0 {
 		return 0, false
 	}
 	period := int64((w.now-400*ms)/w.cfg.MeterPeriod) - 1
-	use := w.used[r.Customer][period] / w.cfg.MeterPeriod.Seconds() / w.cfg.Plans[r.Plan].Quota
+	use := w.used[r.Customer][period] / w.cfg.MeterPeriod.Seconds() / w.cfg.Plans[r.Plan].QuotaRate
 	return math.Round(use*100) / 100, true
 }
 
 // leave lets the client of a request close its connection.
 func (g *traceGateway) leave(r *traceRequest) {
 	if g.requests[r.ID] == r {
-		g.gw.ClientLeft(g.world.now, r.ID)
+		g.gw.ClientDisconnected(g.world.now, r.ID)
 		delete(g.requests, r.ID)
 	}
 }
 
 // Send plays the server: its answer, fault or silence.
-func (g *traceGateway) Send(id RequestID, server ServerID, until time.Duration) {
+func (g *traceGateway) Forward(id RequestID, server EndpointID, until time.Duration) {
 	w := g.world
 	w.note(g, "send", id, server, int64(until))
 	r := g.requests[id]
@@ -275,47 +275,47 @@
 	work := time.Duration(s.slow * r.Units * (0.5 + w.rng.Float64()) * float64(10*ms))
 	s.busy = max(s.busy, w.now) + work/2
 	took := s.busy - w.now + work/2
-	status := OK
+	status := StatusOK
 	switch x := w.rng.IntN(40); {
-	case s.State != Ready || s.busy-w.now > 600*ms:
-		status, took = Full, 2*ms
+	case s.State != StateReady || s.busy-w.now > 600*ms:
+		status, took = StatusRejected, 2*ms
 	case s.faulty && x < 10:
-		status = []Status{ServerError, Reset, ConnectFailed, Full}[x%4]
+		status = []Status{StatusServerError, StatusReset, StatusConnectFailed, StatusRejected}[x%4]
 	case x == 20:
 		took = time.Hour // silent
 	case x == 21:
-		status, took = Moot, 0
+		status, took = StatusNotSent, 0
 	}
 	if took > until-w.now {
-		status, took = TimedOut, until-w.now
+		status, took = StatusTimedOut, until-w.now
 	}
-	if x := w.rng.IntN(60); x == 0 && status == OK {
-		w.after(took/2, func() { g.gw.Opened(w.now, id, number, server, took/2) })
+	if x := w.rng.IntN(60); x == 0 && status == StatusOK {
+		w.after(took/2, func() { g.gw.ResponseStarted(w.now, id, number, server, took/2) })
 	}
 	w.after(took, func() { g.answer(r, number, server, status) })
 }
 
 // answer ends an attempt, unless it was cancelled meanwhile.
-func (g *traceGateway) answer(r *traceRequest, number int, server ServerID, status Status) {
+func (g *traceGateway) answer(r *traceRequest, number int, server EndpointID, status Status) {
 	w := g.world
 	if r.out != number {
 		return
 	}
 	r.out = -1
 	open := g.requests[r.ID] == r
-	o := Outcome{ID: r.ID, Attempt: number, Server: server, Status: status, Took: w.now - r.sentAt,
-		Done: status == OK || !open}
-	if status == OK || status == ServerError || status == Full {
-		o.Use, o.Metered = w.reading(r)
+	o := AttemptResult{Request: r.ID, Attempt: number, Endpoint: server, Status: status, Latency: w.now - r.sentAt,
+		RequestDone: status == StatusOK || !open}
+	if status == StatusOK || status == StatusServerError || status == StatusRejected {
+		o.Usage, o.HasUsage = w.reading(r)
 	}
-	if status == OK {
+	if status == StatusOK {
 		delete(g.requests, r.ID)
 	}
-	g.gw.Finished(w.now, o)
+	g.gw.AttemptFinished(w.now, o)
 }
 
 // Refuse ends a request.
-func (g *traceGateway) Refuse(id RequestID, retryAfter time.Duration) {
+func (g *traceGateway) Reject(id RequestID, retryAfter time.Duration) {
 	g.world.note(g, "refuse", id, int64(retryAfter))
 	delete(g.requests, id)
 }
@@ -327,39 +327,21 @@
 }
 
 // Cancel ends an attempt; its outcome follows as an event of its own.
-func (g *traceGateway) Cancel(id RequestID, attempt int) {
+func (g *traceGateway) CancelAttempt(id RequestID, attempt int) {
 	g.world.note(g, "cancel", id, attempt)
 	r := g.requests[id]
 	if r == nil || r.out != attempt {
 		return
 	}
 	server := r.server
-	g.world.after(0, func() { g.answer(r, attempt, server, Cancelled) })
+	g.world.after(0, func() { g.answer(r, attempt, server, StatusCancelled) })
 }
 
 // SetTimer plans a Timer event.
-func (g *traceGateway) SetTimer(after time.Duration, token uint64) {
+func (g *traceGateway) StartTimer(after time.Duration, token uint64) {
 	g.world.note(g, "timer", int64(after))
-	g.world.after(after, func() { g.gw.Timer(g.world.now, token) })
+	g.world.after(after, func() { g.gw.TimerFired(g.world.now, token) })
 }
 
 // Watch is recorded.
-func (g *traceGateway) Watch(on bool) { g.world.note(g, "watch", on) }
-
-// Probe is recorded.
-func (g *traceGateway) Probe(s ServerID) { g.world.note(g, "probe", s) }
-
-// HangUp is recorded.
-func (g *traceGateway) HangUp(s ServerID) { g.world.note(g, "hang up", s) }
-
-// Tell is recorded.
-func (g *traceGateway) Tell(peer int, _ []byte) { g.world.note(g, "tell", peer) }
-
-// Count is recorded.
-func (g *traceGateway) Count(name uint64, _ float64, _ time.Duration) { g.world.note(g, "count", name) }
-
-// Fetch is recorded.
-func (g *traceGateway) Fetch() { g.world.note(g, "fetch") }
-
-// Log is recorded.
-func (g *traceGateway) Log(line string) { g.world.note(g, "log", line) }
+func (g *traceGateway) WatchEndpoints(on bool) { g.world.note(g, "watch", on) }
