Split the policy by concern and give its parts the field's names; type its timers

Cause: decide.go held every decision in 1,173 lines, under names that only its authors could read. Change: engine, admission, customer, quota, overuse, metering, pacing, overload, balancer, slowstart, outlier and retry, each with its constants; types.go is the interface. Token buckets, the overuse model and the bandwidth manager are types of their own. Out: the count of failures in a row (one ejects, so it decided nothing; its assertion is now on the ejection, which is as strict) and a second type for attempts that outlast their request. Tests are split by the file they test; decide_test.go and wire_test.go are gone, all their functions live on under plain names.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -138,7 +138,7 @@
 		case t.attempt != nil:
 			t.attempt.abort(policy.StatusTimedOut)
 		default:
-			l.gw.TimerFired(l.now, t.token)
+			l.gw.TimerFired(l.now, t.timer)
 		}
 	}
 }
@@ -148,7 +148,7 @@
 	if t.attempt != nil {
 		return !t.attempt.over
 	}
-	return l.gw.TimerPending(t.token)
+	return l.gw.TimerPending(t.timer)
 }
 
 func (l *loop) play(e event) {
@@ -279,8 +279,8 @@
 }
 
 // SetTimer asks for a Timer event.
-func (l *loop) StartTimer(after time.Duration, token uint64) {
-	heap.Push(&l.timers, timer{due: l.now + after, token: token})
+func (l *loop) StartTimer(after time.Duration, which policy.Timer) {
+	heap.Push(&l.timers, timer{due: l.now + after, timer: which})
 }
 
 // WatchEndpoints does nothing: discovery is always watched.
@@ -293,7 +293,7 @@
 // itself because a deadline on each connection would wake the process up far more often.
 type timer struct {
 	due     time.Duration
-	token   uint64
+	timer   policy.Timer
 	attempt *attempt
 }
 
--- /dev/null
+++ b/internal/settings/policy.go
@@ -0,0 +1,84 @@
+package settings
+
+import "springfield/policy"
+
+// Config calls PolicyConfig. It is kept for internal/node alone and is to be removed together with it.
+func Config(s *Settings, seed uint64) policy.Config { return PolicyConfig(s, seed) }
+
+// PolicyConfig returns the policy's configuration for a deployment. The seed is for the policy's random numbers.
+func PolicyConfig(s *Settings, seed uint64) policy.Config {
+	config := policy.Config{
+		GatewayIndex: s.MyNumber,
+		GatewayCount: s.Balancers,
+		Zone:         s.Locality,
+		Seed:         seed,
+
+		MeterPeriod:     Duration(s.Extra.UsePeriodMs),
+		MaxRequestUnits: s.Extra.MostUnits,
+		CanCancel:       s.Limits.Cancel,
+		MaxAttempts:     s.Limits.SendCap,
+		MaxOpenRequests: s.Limits.MostHeld,
+		SendRetryAfter:  s.Limits.RetryAfter,
+		MaxRetryAfter:   Duration(s.Limits.MaxRetryAfterMs),
+		PolledEndpoints: s.Discovery == DiscoveryPolled,
+
+		WarmUpInitialCapacity: s.Safety.ColdFrom,
+		WarmUpDuration:        Duration(s.Safety.WarmWithinMs),
+		WarmUpOverloadFactor:  s.Safety.FallMultiple,
+		WarmUpOverloadWindow:  Duration(s.Safety.FallMs),
+	}
+	for _, class := range s.Classes {
+		config.Classes = append(config.Classes, policyClass(class))
+	}
+	for _, plan := range s.Contracts {
+		config.Plans = append(config.Plans, policyPlan(plan))
+	}
+	return config
+}
+
+func policyClass(class Class) policy.Class {
+	return policy.Class{
+		LatencyObjective: Duration(class.AimMs),
+		PriorityWeight:   class.Value,
+		Idempotency:      idempotency(class.Repeat),
+		KeyScope:         keyScope(class.Group),
+		KeyTTL:           Duration(class.KeyTTLMs),
+	}
+}
+
+// idempotency translates Class.Repeat. A value that is not known is treated as the strictest one.
+func idempotency(repeat string) policy.Idempotency {
+	switch repeat {
+	case RepeatIdempotent:
+		return policy.Idempotent
+	case RepeatDeduplicated:
+		return policy.IdempotentByKey
+	default: // RepeatAtMostOnce
+		return policy.NonIdempotent
+	}
+}
+
+// keyScope translates Class.Group.
+func keyScope(group string) policy.KeyScope {
+	switch group {
+	case GroupZone:
+		return policy.KeyScopeZone
+	case GroupCell:
+		return policy.KeyScopeCell
+	default: // GroupAll
+		return policy.KeyScopeFleet
+	}
+}
+
+func policyPlan(plan Plan) policy.Plan {
+	return policy.Plan{
+		QuotaRate:      plan.UnitsPerS,
+		Burst:          plan.Burst,
+		CeilingRate:    plan.HardRate,
+		CeilingBurst:   plan.CeilingBurst,
+		MaxConcurrent:  plan.AtOnce,
+		PriceFactor:    plan.Pays,
+		OverQuotaValue: plan.OverWorth,
+		OverQuotaCost:  plan.OverCost,
+	}
+}
--- /dev/null
+++ b/policy/admission.go
@@ -0,0 +1,71 @@
+package policy
+
+import "time"
+
+// maxHoldShare is the longest hold, as a share of the class's latency objective.
+const maxHoldShare = 0.5
+
+// admit is the ordinary path of a request: quota rule, ceiling, hold, dispatch. Soft plans, whose use beyond
+// the quota earns more than it costs, meet the quota rule only under overload.
+func (e *Engine) admit(now time.Duration, r *request) {
+	e.updateCustomer(now, r.customer)
+	e.overuse.recordRequest(r)
+	tooMany := e.cfg.MaxOpenRequests > 0 && len(e.requests) > e.cfg.MaxOpenRequests
+	soft := r.customer.plan.OverQuotaValue > r.customer.plan.OverQuotaCost
+	rejected := tooMany || e.overQuota(now, r) && (e.overloaded || !soft)
+	delay, possible := e.admissionDelay(now, r)
+	if rejected || !possible || delay > r.maxHold() || delay+e.expectedLatency(r.Units) > r.TimeLeft {
+		e.finish(r)
+		return
+	}
+	e.takeTokens(r)
+	if delay <= 0 {
+		e.dispatch(now, r)
+		return
+	}
+	r.customer.lastRelease = now + delay
+	e.hold(r, delay)
+}
+
+// admissionDelay is how long a request is held for the ceiling, of which this gateway must have a share, and
+// under overload by the paper's formula.
+func (e *Engine) admissionDelay(now time.Duration, r *request) (delay time.Duration, possible bool) {
+	c := r.customer
+	if c.plan.CeilingRate > 0 {
+		if !c.inSet {
+			return 0, false
+		}
+		if missing := r.Units - c.ceilingBucket.tokens; missing > 0 {
+			delay = seconds(missing / (c.plan.CeilingRate / c.setSize))
+		}
+	}
+	if e.overloaded && c.plan.QuotaRate > 0 && c.avgUsage >= c.plan.QuotaRate {
+		hold := seconds(e.holdSeconds(c, r.Units))
+		delay = max(delay, max(c.lastRelease, now)+hold-now)
+	}
+	return delay, true
+}
+
+func (r *request) maxHold() time.Duration {
+	return time.Duration(maxHoldShare * float64(r.class.LatencyObjective))
+}
+
+func (e *Engine) hold(r *request, delay time.Duration) {
+	r.queued = true
+	r.customer.heldRequests++
+	e.actions.StartTimer(delay, Timer{Kind: TimerRelease, Request: r.ID})
+}
+
+// finish gives the final answer: a rejection while the client may safely retry, else a failure.
+func (e *Engine) finish(r *request) {
+	if r.canReject() {
+		var retryAfter time.Duration
+		if e.cfg.SendRetryAfter && r.customer.plan.QuotaRate > 0 {
+			retryAfter = min(e.cfg.MaxRetryAfter, seconds(r.Units/r.customer.plan.QuotaRate))
+		}
+		e.actions.Reject(r.ID, retryAfter)
+	} else {
+		e.actions.Fail(r.ID)
+	}
+	e.removeRequest(r)
+}
--- /dev/null
+++ b/policy/admission_test.go
@@ -0,0 +1,116 @@
+package policy
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+func TestRequestWithinQuotaIsForwardedAtOnce(t *testing.T) {
+	gateway := start(config(), 3)
+	gateway.submit(1, idempotentClass, costlyPlan, 1)
+	if len(gateway.forwarded) != 1 {
+		t.Fatalf("not forwarded at once: %v", gateway.log)
+	}
+	gateway.finish(1, StatusOK, 0.5)
+	gateway.advanceTo(5 * time.Second)
+	if len(gateway.rejected)+len(gateway.failed) != 0 || len(gateway.engine.requests) != 0 {
+		t.Errorf("answered twice or not at all: %v", gateway.log)
+	}
+}
+
+// exceedQuotaUnderOverload makes the back end look overloaded and the customer of costlyPlan over its quota.
+// The peak usage is so high that a customer's hold is the full one of its quota.
+func exceedQuotaUnderOverload(gateway *recorder) {
+	engine := gateway.engine
+	gateway.submit(1, idempotentClass, costlyPlan, 1)
+	gateway.finish(1, StatusOK, 1)
+	engine.customers[costlyPlan+1].avgUsage = 20
+	engine.overloaded, engine.pressure = true, 0.9
+	engine.manager.someUnderQuota, engine.manager.peakUsage = true, 1e9
+}
+
+func TestHeldRequestsAreReleasedInTurn(t *testing.T) {
+	gateway := start(config(), 3)
+	exceedQuotaUnderOverload(gateway)
+	for id := RequestID(2); id <= 4; id++ {
+		gateway.submit(id, idempotentClass, costlyPlan, 1)
+	}
+	if len(gateway.forwarded) != 1 {
+		t.Fatalf("forwarded under overload and over quota: %v", gateway.log)
+	}
+	gateway.advanceTo(time.Second)
+	// Holds of 0.1 s after one another; the third would exceed half the objective of 0.5 s.
+	want := []forwardedAttempt{
+		{request: 2, at: 100 * time.Millisecond},
+		{request: 3, at: 200 * time.Millisecond},
+	}
+	for i, wanted := range want {
+		got := gateway.forwarded[i+1]
+		if got.request != wanted.request || (got.at-wanted.at).Abs() > time.Microsecond {
+			t.Errorf("release %d: %+v, want %+v", i, got, wanted)
+		}
+	}
+	if !reflect.DeepEqual(gateway.rejected, []RequestID{4}) {
+		t.Errorf("rejected %v, want request 4 whose hold is too long", gateway.rejected)
+	}
+}
+
+func TestSoftQuotaAppliesOnlyUnderOverload(t *testing.T) {
+	gateway := start(config(), 3)
+	for id := RequestID(1); id <= 12; id++ {
+		gateway.submit(id, idempotentClass, softPlan, 1)
+	}
+	if len(gateway.forwarded) != 12 {
+		t.Fatalf("a request of a soft plan was rejected without overload: %v", gateway.log)
+	}
+	gateway.engine.overloaded = true
+	gateway.submit(13, idempotentClass, softPlan, 1)
+	if len(gateway.rejected) != 1 {
+		t.Errorf("not rejected under overload: %v", gateway.log)
+	}
+}
+
+func TestCeilingStartsEmptyAndIsNeverExceeded(t *testing.T) {
+	const unitsEach = 2.0
+	gateway := start(config(), 3)
+	gateway.submit(1, idempotentClass, ceilingPlan, unitsEach)
+	if len(gateway.forwarded) != 0 {
+		t.Fatal("a gateway that has just started forwarded a request under a ceiling")
+	}
+	id, answered := RequestID(2), 0
+	for gateway.now < 6*time.Second {
+		gateway.advance(20 * time.Millisecond)
+		gateway.submit(id, idempotentClass, ceilingPlan, unitsEach)
+		gateway.engine.customers[ceilingPlan+1].estimatedBucket.tokens = 20
+		for ; answered < len(gateway.forwarded); answered++ {
+			gateway.finish(gateway.forwarded[answered].request, StatusOK, noUsage)
+		}
+		id++
+	}
+	units := 0.0
+	for _, attempt := range gateway.forwarded {
+		units += unitsEach
+		if limit := 10 * attempt.at.Seconds(); units > limit+1e-6 { // half of 20 units a second
+			t.Fatalf("%v units forwarded by %v", units, attempt.at)
+		}
+	}
+	if units < 50 {
+		t.Errorf("only %v units forwarded in 6 s", units)
+	}
+}
+
+// Many customers send a single request. The ceiling of one that is new has filled since the gateway's start,
+// so its first request need not be held, and the ceiling still holds.
+func TestCeilingOfNewCustomerHasFilledSinceStart(t *testing.T) {
+	gateway := start(config(), 3)
+	gateway.advanceTo(time.Minute)
+	gateway.submit(1, idempotentClass, ceilingPlan, 4)
+	if len(gateway.forwarded) != 1 {
+		t.Fatal("a new customer's first request is not forwarded at once")
+	}
+	got := gateway.engine.customers[ceilingPlan+1].ceilingBucket.tokens
+	if want := gateway.engine.cfg.Plans[ceilingPlan].CeilingBurst/2 - 4; got != want {
+		t.Errorf("the ceiling's bucket holds %v units, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/policy/balancer_test.go
@@ -0,0 +1,126 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func TestDrainingAndRemovedEndpointsGetNothing(t *testing.T) {
+	gateway := start(config(), 2)
+	draining := []Endpoint{{ID: 1, Weight: 1, State: StateDraining}}
+	gateway.engine.UpdateEndpoints(0, UpdateDelta, draining)
+	gateway.engine.UpdateEndpoints(0, UpdateFull, draining) // endpoint 2 is absent: removed
+	gateway.submit(1, idempotentClass, costlyPlan, 1)
+	gateway.advanceTo(3 * time.Second)
+	if len(gateway.forwarded) != 0 || len(gateway.rejected) != 1 {
+		t.Errorf("%v", gateway.log)
+	}
+}
+
+// A gateway of a large fleet gets an answer of an endpoint every few seconds, and an endpoint may become slow
+// in less: two slow answers must show.
+func TestTwoSlowAnswersRaiseCost(t *testing.T) {
+	gateway := start(config(), 4)
+	engine := gateway.engine
+	gateway.submit(1, idempotentClass, unknownPlan, 1)
+	ep := gateway.endpointOf(0)
+	ep.latencyPerUnit, engine.latencyPerUnit = 0.05, 0.05
+	before := engine.cost(gateway.now, ep, 1)
+	slow := AttemptResult{Endpoint: ep.ID, Latency: 200 * time.Millisecond}
+	for range 2 {
+		engine.recordResult(gateway.now, ep, slow, 1, engine.requests[1])
+	}
+	if after := engine.cost(gateway.now, ep, 1); after < 2.5*before {
+		t.Errorf("cost %v after two answers four times as slow, %v before", after, before)
+	}
+}
+
+// An endpoint that is full rejects at once and so looks idle. It must not attract the retries.
+func TestRejectionRaisesCostAndLowersLimit(t *testing.T) {
+	gateway := start(config(), 1)
+	engine, ep := gateway.engine, gateway.engine.endpoints[1]
+	engine.latencyPerUnit = 0.1
+	costBefore := engine.cost(gateway.now, ep, 1)
+	gateway.submit(1, nonIdempotentClass, unknownPlan, 1)
+	limitBefore := ep.limit
+	engine.retryTokens = 0
+	gateway.finish(1, StatusRejected, noUsage)
+	if cost := engine.cost(gateway.now, ep, 1); ep.limit >= limitBefore || cost <= costBefore {
+		t.Errorf("limit %v (before %v), cost %v (before %v) after a rejection", ep.limit, limitBefore, cost, costBefore)
+	}
+}
+
+// Hundreds of gateways that use every endpoint would hold more connections than an endpoint accepts.
+func TestGatewayUsesFewEndpoints(t *testing.T) {
+	const gateways, endpoints = 50, 20
+	usedByAny := map[EndpointID]bool{}
+	for index := range gateways {
+		cfg := config()
+		cfg.GatewayIndex, cfg.GatewayCount = index, gateways
+		gateway := start(cfg, endpoints)
+		used := map[EndpointID]bool{}
+		for id := RequestID(1); id <= 30; id++ {
+			gateway.now += 200 * time.Millisecond
+			gateway.engine.Submit(gateway.now, Request{ID: id, Plan: unknownPlan, Customer: 9,
+				TimeLeft: time.Second, Units: 1, SetSize: 1})
+			endpoint := gateway.lastForwarded().endpoint
+			used[endpoint], usedByAny[endpoint] = true, true
+			gateway.finishFirst(id, endpoint, StatusOK, 50*time.Millisecond)
+		}
+		if len(used) > 3 {
+			t.Fatalf("gateway %d used %d endpoints with one request in flight at a time", index, len(used))
+		}
+	}
+	if len(usedByAny) < 18 {
+		t.Errorf("%d gateways use %d of %d endpoints together", gateways, len(usedByAny), endpoints)
+	}
+}
+
+// An endpoint that is removed with an attempt in flight must be used again when it is listed again.
+func TestEndpointReturnsAfterRemovalWithAttemptInFlight(t *testing.T) {
+	gateway := start(config(), 1)
+	engine := gateway.engine
+	removed := []Endpoint{{ID: 1, State: StateRemoved}}
+	gateway.submit(1, nonIdempotentClass, unknownPlan, 1)
+	engine.UpdateEndpoints(0, UpdateDelta, removed)
+	engine.UpdateEndpoints(0, UpdateDelta, []Endpoint{{ID: 1, Weight: 1, State: StateReady}})
+	gateway.finish(1, StatusOK, noUsage)
+	gateway.submit(2, idempotentClass, unknownPlan, 1)
+	if len(gateway.forwarded) != 2 {
+		t.Errorf("%v", gateway.log)
+	}
+	engine.UpdateEndpoints(0, UpdateDelta, removed)
+	gateway.finish(2, StatusOK, noUsage)
+	if len(engine.endpoints) != 0 {
+		t.Error("a removed endpoint is never forgotten")
+	}
+}
+
+// With hundreds of endpoints, most of them warming up, a sum over the fleet for each of them at each choice
+// would be a hundred thousand steps a request. The sum is kept, and has to follow every kind of update.
+func TestReadyWeightFollowsEndpointList(t *testing.T) {
+	gateway := start(config(), 3)
+	engine := gateway.engine
+	engine.forwardRate = 10
+	warmUpRate := func() float64 {
+		return engine.warmUpRate(0, &endpoint{Endpoint: Endpoint{Weight: 1}})
+	}
+	for _, test := range []struct {
+		kind        UpdateKind
+		list        []Endpoint
+		readyWeight float64
+	}{
+		{UpdateDelta, []Endpoint{{ID: 4, Weight: 3, State: StateReady}}, 6},
+		{UpdateDelta, []Endpoint{{ID: 4, Weight: 5, State: StateReady}}, 8},
+		{UpdateDelta, []Endpoint{{ID: 1, Weight: 1, State: StateDraining}, {ID: 2, State: StateRemoved}}, 6},
+		{UpdateFailed, nil, 6},
+		{UpdateFull, []Endpoint{{ID: 9, Weight: 2, State: StateReady}}, 2},
+		{UpdateDelta, []Endpoint{{ID: 9, State: StateRemoved}, {ID: 10, State: StateReady}}, 1},
+	} {
+		engine.UpdateEndpoints(0, test.kind, test.list)
+		if want := warmUpMargin * 2 * 10 / test.readyWeight; math.Abs(warmUpRate()-want) > 1e-9 {
+			t.Errorf("%+v: warm-up rate of %v units a second, want %v", test, warmUpRate(), want)
+		}
+	}
+}
--- /dev/null
+++ b/policy/harness_test.go
@@ -0,0 +1,217 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Indexes of the classes and plans of config.
+const (
+	idempotentClass    = 0
+	keyedClass         = 1
+	nonIdempotentClass = 2
+
+	costlyPlan  = 0 // use over quota costs
+	softPlan    = 1 // use over quota still earns a part
+	ceilingPlan = 2 // costly, with a hard limit beside the quota
+	unknownPlan = 9 // not configured, and so without quotas
+)
+
+// noUsage stands for the usage of an answer that carries no reading.
+const noUsage = -1
+
+// config is the configuration that most tests start from.
+func config() Config {
+	return Config{
+		GatewayCount:    2,
+		Seed:            7,
+		MeterPeriod:     time.Second,
+		MaxRequestUnits: 4,
+		CanCancel:       true,
+		MaxAttempts:     5,
+		SendRetryAfter:  true,
+		MaxRetryAfter:   time.Second,
+
+		WarmUpInitialCapacity: 0.2,
+		WarmUpDuration:        10 * time.Second,
+		WarmUpOverloadFactor:  2,
+		WarmUpOverloadWindow:  time.Second,
+
+		Classes: []Class{
+			{LatencyObjective: 500 * time.Millisecond, PriorityWeight: 3, Idempotency: Idempotent},
+			{LatencyObjective: 500 * time.Millisecond, PriorityWeight: 3, Idempotency: IdempotentByKey,
+				KeyScope: KeyScopeZone, KeyTTL: time.Second},
+			{LatencyObjective: 500 * time.Millisecond, PriorityWeight: 3, Idempotency: NonIdempotent},
+		},
+		Plans: []Plan{
+			{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: 0.5},
+			{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaValue: 0.3},
+			{QuotaRate: 10, Burst: 20, PriceFactor: 1, OverQuotaCost: 0.5, CeilingRate: 20, CeilingBurst: 40},
+		},
+	}
+}
+
+// eventQueue orders events by time, and those of one time by when they were added.
+type eventQueue struct{ events []event }
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+func (q *eventQueue) add(at time.Duration, run func()) {
+	position := sort.Search(len(q.events), func(i int) bool { return q.events[i].at > at })
+	q.events = slices.Insert(q.events, position, event{at, run})
+}
+
+// popDue removes and returns the first event if its time has come by the given time.
+func (q *eventQueue) popDue(until time.Duration) (event, bool) {
+	if len(q.events) == 0 || q.events[0].at > until {
+		return event{}, false
+	}
+	first := q.events[0]
+	q.events = q.events[1:]
+	return first, true
+}
+
+// recorder is a gateway around an engine: it records the engine's actions and fires its timers.
+type recorder struct {
+	engine    *Engine
+	now       time.Duration
+	log       []string // all actions but the timers, as text
+	forwarded []forwardedAttempt
+	rejected  []RequestID
+	failed    []RequestID
+	cancelled []RequestID // by attempt: a request may occur more than once
+	timers    []Timer     // all that were started
+	queue     eventQueue  // the timers that have not fired
+}
+
+type forwardedAttempt struct {
+	request  RequestID
+	endpoint EndpointID
+	at       time.Duration
+}
+
+// newRecorder returns a gateway whose engine starts at the given time and knows no endpoint.
+func newRecorder(cfg Config, now time.Duration) *recorder {
+	gateway := &recorder{now: now}
+	gateway.engine = New(cfg, gateway)
+	gateway.engine.Start(now)
+	return gateway
+}
+
+// start returns a gateway with warm endpoints 1 to count, all in zone 0 but the last.
+func start(cfg Config, count int) *recorder {
+	gateway := newRecorder(cfg, 0)
+	list := readyEndpoints(count)
+	list[count-1].Zone = 1
+	gateway.engine.UpdateEndpoints(0, UpdateCached, list)
+	return gateway
+}
+
+// readyEndpoints lists warm endpoints 1 to count.
+func readyEndpoints(count int) []Endpoint {
+	var list []Endpoint
+	for id := 1; id <= count; id++ {
+		list = append(list, Endpoint{ID: EndpointID(id), Weight: 1, State: StateReady})
+	}
+	return list
+}
+
+func (r *recorder) record(format string, values ...any) {
+	r.log = append(r.log, fmt.Sprintf("%v ", r.now)+fmt.Sprintf(format, values...))
+}
+
+func (r *recorder) Forward(id RequestID, endpoint EndpointID, _ time.Duration) {
+	r.forwarded = append(r.forwarded, forwardedAttempt{id, endpoint, r.now})
+	r.record("forward %d to %d", id, endpoint)
+}
+
+func (r *recorder) Reject(id RequestID, _ time.Duration) {
+	r.rejected = append(r.rejected, id)
+	r.record("reject %d", id)
+}
+
+func (r *recorder) Fail(id RequestID) {
+	r.failed = append(r.failed, id)
+	r.record("fail %d", id)
+}
+
+func (r *recorder) CancelAttempt(id RequestID, attempt int) {
+	r.cancelled = append(r.cancelled, id)
+	r.record("cancel %d attempt %d", id, attempt)
+}
+
+func (r *recorder) StartTimer(after time.Duration, timer Timer) {
+	r.timers = append(r.timers, timer)
+	at := r.now + after
+	r.queue.add(at, func() { r.engine.TimerFired(at, timer) })
+}
+
+func (r *recorder) WatchEndpoints(on bool) { r.record("watch %v", on) }
+
+// advanceTo fires the timers that are due by the given time, in order.
+func (r *recorder) advanceTo(until time.Duration) {
+	for due, ok := r.queue.popDue(until); ok; due, ok = r.queue.popDue(until) {
+		r.now = due.at
+		due.run()
+	}
+	r.now = until
+}
+
+// advance fires the timers that are due within the given time from now.
+func (r *recorder) advance(by time.Duration) { r.advanceTo(r.now + by) }
+
+// submit submits a request of the one customer that a plan has in most tests, which two gateways carry.
+func (r *recorder) submit(id RequestID, class, plan int, units float64) {
+	r.engine.Submit(r.now, Request{ID: id, Class: class, Plan: plan, Customer: CustomerID(plan + 1),
+		TimeLeft: 2 * time.Second, Units: units, SetSize: 2})
+}
+
+// submitSpread submits a request of a customer of plan 0 that is spread over so many gateways.
+func (r *recorder) submitSpread(id RequestID, units float64, gateways int) {
+	r.engine.Submit(r.now, Request{ID: id, Plan: 0, Customer: spreadCustomer,
+		TimeLeft: time.Second, Units: units, SetSize: gateways})
+}
+
+// spreadCustomer is the customer of submitSpread.
+const spreadCustomer CustomerID = 5
+
+// finish ends the latest attempt of a request after 50 ms.
+func (r *recorder) finish(id RequestID, status Status, usage float64) {
+	result := AttemptResult{Request: id, Attempt: -1, Status: status, Latency: 50 * time.Millisecond,
+		RequestDone: status == StatusOK, HasUsage: usage >= 0, Usage: usage}
+	for _, attempt := range r.forwarded {
+		if attempt.request == id {
+			result.Endpoint = attempt.endpoint
+			result.Attempt++
+		}
+	}
+	r.engine.AttemptFinished(r.now, result)
+}
+
+// finishFirst ends the first attempt of a request that needs no further one.
+func (r *recorder) finishFirst(id RequestID, endpoint EndpointID, status Status, latency time.Duration) {
+	r.engine.AttemptFinished(r.now, AttemptResult{Request: id, Endpoint: endpoint, Status: status,
+		Latency: latency, RequestDone: true})
+}
+
+// forwardedLast reports whether the latest attempt is one of the given request.
+func (r *recorder) forwardedLast(id RequestID) bool {
+	return len(r.forwarded) > 0 && r.lastForwarded().request == id
+}
+
+func (r *recorder) lastForwarded() forwardedAttempt { return r.forwarded[len(r.forwarded)-1] }
+
+// endpointOf returns the endpoint of the attempt with the given place in the order of forwarding.
+func (r *recorder) endpointOf(attempt int) *endpoint {
+	return r.engine.endpoints[r.forwarded[attempt].endpoint]
+}
+
+// newRequest is a request of the idempotent class as the engine keeps it, for tests of single methods.
+func newRequest(engine *Engine, units float64, c *customer) *request {
+	return &request{Request: Request{Units: units}, class: &engine.cfg.Classes[idempotentClass], customer: c}
+}
--- /dev/null
+++ b/policy/metering_test.go
@@ -0,0 +1,66 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// In a customer far over its quota the reject probability goes on rising at the last reading, also in the
+// metering periods in which no answer brings one.
+func TestRejectProbabilityMovesWithoutNewReadings(t *testing.T) {
+	cfg := config()
+	cfg.GatewayCount = 60
+	engine := start(cfg, 9).engine
+	c := engine.customerFor(0, &Request{Customer: spreadCustomer, Plan: costlyPlan, SetSize: 60})
+	engine.recordUsage(0, c, 3)
+	afterReading := c.rejectProbability
+	engine.updateCustomer(5*time.Second, c)
+	if c.rejectProbability <= afterReading || c.rejectProbability < 0.95 {
+		t.Errorf("reject probability %v after a reading of three quotas, %v five periods later",
+			afterReading, c.rejectProbability)
+	}
+	engine.recordUsage(6*time.Second, c, 0)
+	if c.rejectProbability != 0 {
+		t.Errorf("reject probability %v at no usage", c.rejectProbability)
+	}
+}
+
+// A customer whose first reading is over its quota has emptied its bucket unseen, whatever the overuse of its
+// plan costs: the reject probability starts as after the periods that its burst lasts.
+func TestFirstReadingOverQuotaEmptiesBucket(t *testing.T) {
+	for _, cost := range []float64{0.5, 1.2} {
+		cfg := config()
+		cfg.GatewayCount, cfg.Plans[costlyPlan].OverQuotaCost = 300, cost
+		engine := start(cfg, 3).engine
+		c := engine.customerFor(0, &Request{Customer: spreadCustomer, Plan: costlyPlan, SetSize: 150})
+		engine.recordUsage(time.Second, c, 3)
+		if c.fleetBucket.tokens != 0 || c.rejectProbability < 0.8 {
+			t.Errorf("overuse cost %v: bucket of %v units, reject probability %v at a first reading of three quotas",
+				cost, c.fleetBucket.tokens, c.rejectProbability)
+		}
+	}
+}
+
+// In a surge that has begun since the metered period, each of the gateways gets a reading of no usage. If it
+// took itself for the only one, it would refill its own bucket with nearly the whole quota.
+func TestZeroReadingKeepsEvenSplit(t *testing.T) {
+	const seeds = 20
+	cfg := config()
+	cfg.GatewayCount, cfg.MeterPeriod = 300, time.Second
+	cfg.Plans = []Plan{{QuotaRate: 8, Burst: 30, PriceFactor: 1, OverQuotaCost: 1}}
+	forwarded := 0
+	for cfg.Seed = 1; cfg.Seed <= seeds; cfg.Seed++ {
+		gateway := start(cfg, 3)
+		for id := RequestID(1); id <= 20; id++ {
+			gateway.advance(200 * time.Millisecond)
+			gateway.submitSpread(id, 2, 200)
+			if gateway.forwardedLast(id) {
+				gateway.finish(id, StatusOK, 0)
+			}
+		}
+		forwarded += len(gateway.forwarded)
+	}
+	if mean := float64(forwarded) / seeds; mean < 0.2 || mean > 0.8 {
+		t.Errorf("each of 200 gateways forwarded %v requests on average at readings of no usage", mean)
+	}
+}
--- /dev/null
+++ b/policy/retry.go
@@ -0,0 +1,99 @@
+package policy
+
+import "time"
+
+const (
+	retryTokensPerRequest = 0.2  // retry budget earned by each request
+	maxRetryTokens        = 10.0 // and the most saved up
+	silenceFactor         = 8.0  // an attempt is moved after this multiple of its expected latency
+	overdueMargin         = 1.01 // an attempt is late just past endpointLateThreshold
+)
+
+// endAttempt notes that the attempt in flight has ended, and whether it may have been executed.
+func (r *request) endAttempt(status Status) {
+	neverRan := status == StatusRejected || status == StatusConnectFailed || status == StatusNotSent
+	if !neverRan && status != StatusOK && r.mayHaveRunOn == nil {
+		r.mayHaveRunOn, r.mayHaveRunAt = r.inFlight, r.sentAt
+	}
+	r.inFlight = nil
+}
+
+// retryOrFinish retries where rules, time and the retry budget allow it.
+func (e *Engine) retryOrFinish(now time.Duration, r *request) {
+	if r.deadline-now <= e.expectedLatency(r.Units) || e.retryTokens < 1 || e.attemptsExhausted(r) {
+		e.finish(r)
+		return
+	}
+	e.retryTokens--
+	e.dispatch(now, r)
+}
+
+func (e *Engine) attemptsExhausted(r *request) bool {
+	return e.cfg.MaxAttempts > 0 && r.attempts >= e.cfg.MaxAttempts
+}
+
+// attemptAllowed keeps the rule on repeats: anywhere while no attempt may have been executed; then only where
+// repeats are deduplicated, and only while the idempotency key is remembered.
+func (e *Engine) attemptAllowed(now time.Duration, r *request, ep *endpoint) bool {
+	if r.mayHaveRunOn == nil || r.class.Idempotency == Idempotent {
+		return true
+	}
+	if r.class.Idempotency != IdempotentByKey || now >= r.mayHaveRunAt+r.class.KeyTTL {
+		return false
+	}
+	zoneAllowed := r.class.KeyScope != KeyScopeZone || ep.Zone == r.mayHaveRunOn.Zone
+	cellAllowed := r.class.KeyScope != KeyScopeCell || ep.Cell == r.mayHaveRunOn.Cell
+	return zoneAllowed && cellAllowed
+}
+
+// canReject reports whether a rejection may still be given, which promises that nothing has run.
+func (r *request) canReject() bool {
+	return r.inFlight == nil && r.mayHaveRunOn == nil || r.class.Idempotency == Idempotent
+}
+
+// silenceTimeout is when an attempt is looked at that has not been answered.
+func (e *Engine) silenceTimeout(r *request) time.Duration {
+	objective := r.class.LatencyObjective.Seconds()
+	overdue := overdueMargin * endpointLateThreshold * objective
+	return seconds(min(max(silenceFactor*e.latencyPerUnit*r.Units, objective/4), overdue))
+}
+
+// checkSilence looks at an attempt that has not been answered. Overdue, it counts as late for the limits.
+// Past what an answer takes at most it is retried elsewhere; earlier that would only multiply the work.
+func (e *Engine) checkSilence(now time.Duration, r *request) {
+	if r.responseStarted { // a stream belongs to the client and may last
+		return
+	}
+	age := now - r.sentAt
+	if !r.overtaken() {
+		late := age.Seconds() > endpointLateThreshold*r.class.LatencyObjective.Seconds()
+		e.adjustLimits(now, r.inFlight, r, late, age)
+	}
+	if !e.cfg.CanCancel || now >= r.deadline {
+		return
+	}
+	due := seconds(silenceFactor * e.latencyPerUnit * r.Units)
+	if age >= due && e.mayMove(now, r) {
+		if r.inFlight.lastResponse <= r.sentAt {
+			e.recordFailure(now, r.inFlight) // it has answered nothing else either
+		}
+		e.actions.CancelAttempt(r.ID, r.attempt)
+		return
+	}
+	next := e.silenceTimeout(r)
+	if age < due {
+		next = due - age
+	}
+	e.actions.StartTimer(next, Timer{TimerSilence, r.ID, r.attempt})
+}
+
+// mayMove reports whether the attempt in flight may be cancelled and retried elsewhere.
+func (e *Engine) mayMove(now time.Duration, r *request) bool {
+	keyRemembered := r.class.Idempotency == IdempotentByKey && now < r.sentAt+r.class.KeyTTL
+	timeLeft := r.deadline-now > e.expectedLatency(r.Units)
+	affordable := e.retryTokens >= 1 && !e.attemptsExhausted(r)
+	return (r.class.Idempotency == Idempotent || keyRemembered) && timeLeft && affordable
+}
+
+// overtaken reports whether the answer seems lost, which is no sign of load: later attempts were answered.
+func (r *request) overtaken() bool { return r.inFlight != nil && r.sentAt < r.inFlight.newestAnswered }
--- a/policy/types.go
+++ b/policy/types.go
@@ -2,168 +2,196 @@
 
 import "time"
 
-// RequestID names one try of a client. Ids are never used twice.
+// RequestID names one request of a client. Ids are never reused.
 type RequestID uint32
 
-// ServerID names an app server; it carries no meaning of its own.
+// EndpointID names an upstream server. It carries no meaning of its own.
 type EndpointID uint32
 
 // CustomerID names a customer.
 type CustomerID uint64
 
-// Repeat says how often a request of a class may take effect.
+// Idempotency says how often a request of a class may take effect.
 type Idempotency uint8
 
-// The repeat rules of a class.
+// The kinds of idempotency.
 const (
-	Idempotent      Idempotency = iota // safe to repeat at any time
-	IdempotentByKey                    // keyed: repeats are dropped inside a group for a while
-	NonIdempotent                      // unsafe: never repeated once it may have run
+	Idempotent      Idempotency = iota // may be executed any number of times
+	IdempotentByKey                    // repeats with the same key are dropped for a while, within a KeyScope
+	NonIdempotent                      // must not be sent again once it may have been executed
 )
 
-// Group says which servers drop the repeats of a deduplicated request.
+// KeyScope says which endpoints share the idempotency keys that they have seen.
 type KeyScope uint8
 
-// The groups that share the keys they have seen.
+// The scopes of idempotency keys.
 const (
-	KeyScopeFleet KeyScope = iota
-	KeyScopeZone
-	KeyScopeCell
+	KeyScopeFleet KeyScope = iota // all endpoints
+	KeyScopeZone                  // those of a zone
+	KeyScopeCell                  // those of a cell
 )
 
 // Class describes a class of requests.
 type Class struct {
-	LatencyObjective time.Duration // an answer inside this time earns the full worth
-	PriorityWeight   float64
+	LatencyObjective time.Duration // an answer within this time earns its full value
+	PriorityWeight   float64       // value of a unit of this class
 	Idempotency      Idempotency
 	KeyScope         KeyScope
-	KeyTTL           time.Duration // how long repeats are dropped, from the first send that may have run
+	KeyTTL           time.Duration // how long keys are remembered, from the first attempt that may have run
 }
 
-// Plan is a quota contract; it holds for each customer over all gateways together.
+// Plan is a quota contract. It holds for each of its customers over all gateways together.
 type Plan struct {
 	QuotaRate      float64 // units a second; 0 means no such quota
 	Burst          float64 // units that may be used at once
-	CeilingRate    float64 // hard ceiling, units a second; 0 means none
-	CeilingBurst   float64
-	MaxConcurrent  float64 // attempts out at once; 0 means no such quota
-	PriceFactor    float64 // factor on the worth
-	OverQuotaValue float64 // share of the worth earned beyond the quota
-	OverQuotaCost  float64 // share of the worth paid for a try sent on beyond the quota
+	CeilingRate    float64 // hard limit, units a second; 0 means none
+	CeilingBurst   float64 // units that may be used at once under the hard limit
+	MaxConcurrent  float64 // attempts in flight; 0 means no such quota
+	PriceFactor    float64 // factor on the value of a unit
+	OverQuotaValue float64 // share of the value that is earned over quota
+	OverQuotaCost  float64 // share of the value that each request forwarded over quota costs
 }
 
-// Config holds what a gateway is told at start.
+// Config is what an engine is told at its start.
 type Config struct {
-	GatewayIndex, GatewayCount int    // this gateway, and how many there are
-	Zone                       int    // its zone
-	Seed                       uint64 // for its random numbers
-	Classes                    []Class
-	Plans                      []Plan
-
-	MeterPeriod     time.Duration // 0: answers carry no metered use
-	MaxRequestUnits float64       // the most units of one request; 0: not told
-	CanCancel       bool          // Cancel may be used
-	MaxAttempts     int           // the most attempts of a request; 0: no cap
-	MaxOpenRequests int           // the most open requests; 0: no cap
-	SendRetryAfter  bool          // clients are shown the advice of a refusal
-	MaxRetryAfter   time.Duration // the longest advice that clients heed
-	PolledEndpoints bool          // the roster must be asked for with Watch
-
-	WarmUpInitialCapacity float64       // least share of its capacity at which a server starts
-	WarmUpDuration        time.Duration // and it is warm after this
-	WarmUpOverloadFactor  float64       // sent more than this multiple of its capacity
-	WarmUpOverloadWindow  time.Duration // for this long, a cold server falls over
+	GatewayIndex int    // this gateway's number, from 0
+	GatewayCount int    // gateways of the fleet
+	Zone         int    // this gateway's zone
+	Seed         uint64 // for its random numbers
+	Classes      []Class
+	Plans        []Plan
+
+	MeterPeriod     time.Duration // metering period of the usage that answers carry; 0: they carry none
+	MaxRequestUnits float64       // most units of one request; 0: not known
+	CanCancel       bool          // CancelAttempt may be used
+	MaxAttempts     int           // most attempts of a request; 0: unlimited
+	MaxOpenRequests int           // most requests without their final answer; 0: unlimited
+	SendRetryAfter  bool          // clients are shown the Retry-After of a rejection
+	MaxRetryAfter   time.Duration // longest Retry-After that clients heed
+	PolledEndpoints bool          // endpoint updates must be asked for with WatchEndpoints
+
+	// An endpoint warms up: it starts at WarmUpInitialCapacity of its capacity at least and has all of it after
+	// WarmUpDuration. Until then it fails when it gets more than WarmUpOverloadFactor times its present
+	// capacity for WarmUpOverloadWindow.
+	WarmUpInitialCapacity float64
+	WarmUpDuration        time.Duration
+	WarmUpOverloadFactor  float64
+	WarmUpOverloadWindow  time.Duration
 }
 
-// Request is one try of a client.
+// Request is one request of a client; a client's own retry is another one.
 type Request struct {
 	ID       RequestID
-	Class    int
-	Plan     int
+	Class    int // index in Config.Classes
+	Plan     int // index in Config.Plans
 	Customer CustomerID
-	TimeLeft time.Duration // time until the client gives this try up
-	Units    float64
-	SetSize  int // number of gateways that carry this customer
-	SetFirst int // the first of them; the rest follow in turn
+	TimeLeft time.Duration // until the client gives up
+	Units    float64       // what the request takes from the quota, perhaps a guess
+	SetSize  int           // number of gateways that carry this customer
+	SetFirst int           // the first of them; the others follow in turn
 }
 
-// Status tells how an attempt, a probe or a count ended.
+// Status tells how an attempt ended.
 type Status uint8
 
-// The outcomes.
+// The statuses of an attempt.
 const (
-	StatusOK            Status = iota
-	StatusServerError          // may have run
-	StatusRejected             // turned away unseen: never ran
-	StatusTimedOut             // may have run
-	StatusConnectFailed        // never ran
-	StatusReset                // may have run
-	StatusCancelled            // may have run
-	StatusNotSent              // never sent
+	StatusOK            Status = iota // answered
+	StatusServerError                 // failed; may have been executed
+	StatusRejected                    // rejected by the endpoint; never executed
+	StatusTimedOut                    // no answer in time; may have been executed
+	StatusConnectFailed               // no connection; never executed
+	StatusReset                       // connection lost; may have been executed
+	StatusCancelled                   // given up by the gateway; may have been executed
+	StatusNotSent                     // never sent
 )
 
-// Report is a server's load report. A value that the site does not report is absent (below 0).
+// LoadReport is an endpoint's load report. A value that is not reported is below 0. The present policy does
+// without load reports.
 type LoadReport struct {
-	Present                                              bool
-	InFlight, Queued, Utilization, Latency, Rate, Errors float64 // latency in seconds
+	Present     bool
+	InFlight    float64 // requests in service
+	Queued      float64 // requests waiting
+	Utilization float64 // share of its processors in use
+	Latency     float64 // mean, in seconds
+	Rate        float64 // requests a second
+	Errors      float64 // errors a second
 }
 
-// Outcome tells how one attempt ended.
+// AttemptResult tells how one attempt ended.
 type AttemptResult struct {
 	Request     RequestID
-	Attempt     int
+	Attempt     int // number of the attempt, from 0
 	Endpoint    EndpointID
 	Status      Status
 	Latency     time.Duration
-	RequestDone bool    // the request is over
-	HasUsage    bool    // Use is set
-	Usage       float64 // the customer's use over all gateways, as a share of its quota
+	RequestDone bool    // the request has its final answer
+	HasUsage    bool    // Usage is set
+	Usage       float64 // the customer's usage over all gateways, as a share of its quota
 	LoadReport  LoadReport
 }
 
-// Readiness is a server's state on the roster.
+// EndpointState is an endpoint's state in the endpoint list.
 type EndpointState uint8
 
-// The states of a server on the roster.
+// The states of an endpoint.
 const (
-	StateRemoved EndpointState = iota
-	StateReady
-	StateDraining
+	StateRemoved  EndpointState = iota // gone; it gets nothing
+	StateReady                         // takes requests
+	StateDraining                      // completes its requests and gets no new ones
 )
 
-// Server is one line of the roster.
+// Endpoint is an entry of the endpoint list.
 type Endpoint struct {
 	ID        EndpointID
-	Weight    float64 // relative size; 0: not told
+	Weight    float64 // relative capacity; 0: not known
 	State     EndpointState
 	Zone      int
 	Cell      int
-	StartedAt time.Duration // when it last started; 0: long ago
+	StartedAt time.Duration // when its process last started; 0: long ago
 }
 
-// RosterKind tells what a roster event holds.
+// UpdateKind tells what an update of the endpoint list holds.
 type UpdateKind uint8
 
-// The kinds of roster news.
+// The kinds of update.
 const (
-	UpdateDelta  UpdateKind = iota // only what changed
-	UpdateFull                     // the whole list
-	UpdateCached                   // the whole list as last held, perhaps old
-	UpdateFailed                   // a call did not succeed; nothing changes
+	UpdateDelta  UpdateKind = iota // changed entries only
+	UpdateFull                     // the complete list
+	UpdateCached                   // the complete list as last known, perhaps outdated
+	UpdateFailed                   // nothing: a call for the list failed
 )
 
-// Actions is what an edge node does for the module. Times are on the caller's monotonic clock.
+// TimerKind says what a timer is for.
+type TimerKind uint8
+
+// The kinds of timer.
+const (
+	TimerManager TimerKind = iota + 1 // the bandwidth manager's next pass
+	TimerRelease                      // a queued request leaves the queue
+	TimerSilence                      // an attempt should have been answered
+	TimerWatch                        // the endpoint list is asked for again
+)
+
+// Timer names a timer. Request and Attempt are those that it belongs to, where there are any.
+type Timer struct {
+	Kind    TimerKind
+	Request RequestID
+	Attempt int
+}
+
+// Actions carries out the engine's decisions. Times are on the axis of the times that the engine is given.
 type Actions interface {
-	// Send starts an attempt. It is given up at until; 0 means when the client quits.
-	Forward(id RequestID, server EndpointID, until time.Duration)
-	// Refuse ends a request and tells the client that trying again is harmless.
+	// Forward starts an attempt at an endpoint. It is given up at the given time; 0 means when the client does.
+	Forward(id RequestID, endpoint EndpointID, giveUpAt time.Duration)
+	// Reject gives a request its final answer: nothing has been executed, and a retry is harmless.
 	Reject(id RequestID, retryAfter time.Duration)
-	// Fail ends a request and promises nothing.
+	// Fail gives a request its final answer and promises nothing.
 	Fail(id RequestID)
-	// Cancel stops waiting for an attempt; its outcome is Cancelled.
+	// CancelAttempt gives an attempt up. Its result, StatusCancelled, follows as an event.
 	CancelAttempt(id RequestID, attempt int)
-	// SetTimer asks for a Timer event with this token.
-	StartTimer(after time.Duration, token uint64)
-	// Watch asks for roster changes from now on, or no longer.
+	// StartTimer asks for a TimerFired event.
+	StartTimer(after time.Duration, timer Timer)
+	// WatchEndpoints asks for endpoint updates, or for no more of them.
 	WatchEndpoints(on bool)
 }
