--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -1,43 +1,57 @@
-// Command asterusher is an edge node: it holds customers to their quotas before the app
-// servers that all edge nodes share. Its configuration is the file that RELAY_CONFIG
-// names; SIGHUP makes it read that file again, SIGTERM drain and end.
+// Command gateway is an edge gateway: it holds customers to their quotas in front of the endpoints that all gateways
+// share. The environment variable RELAY_CONFIG names its configuration file. SIGHUP makes it read that file again, and
+// SIGTERM makes it drain and exit.
 package main
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
 
-	"springfield/internal/node"
+	"springfield/internal/config"
+	"springfield/internal/gateway"
 )
 
-// The heap stays far below the memory limit, so it is collected seldom; near the limit
-// the collector works harder.
 const (
-	gcPercent   = 400
-	memoryShare = 0.75
+	// maxProcs is the number of cores that a gateway has.
+	maxProcs = 1
+
+	// gcPercent lets the heap grow far before it is collected, because it stays far below the memory limit. Near the
+	// limit the collector works harder.
+	gcPercent = 400
+
+	// heapShare is the part of the memory limit that the Go runtime may use.
+	heapShare = 0.75
+
+	bytesPerMB = 1 << 20
 )
 
 func main() {
-	reload := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err := run(); err != nil {
+		slog.Error("gateway failed", "err", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until SIGTERM or an interrupt and the drain that follows.
+func run() error {
+	reload := make(chan os.Signal, 1) // one that is pending stands for all that come meanwhile
 	signal.Notify(reload, syscall.SIGHUP)
-	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := node.LoadConfig(os.Getenv)
+	cfg, err := config.Load(os.Getenv)
 	if err != nil {
-		log.Fatal(err)
+		return err
 	}
-	runtime.GOMAXPROCS(1) // an edge node has one core
+	runtime.GOMAXPROCS(maxProcs)
 	debug.SetGCPercent(gcPercent)
 	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
-	}
-	if err := node.Run(ctx, cfg, reload); err != nil {
-		log.Fatal(err)
+		debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB) * bytesPerMB))
 	}
+	return gateway.Run(ctx, cfg, reload)
 }
--- /dev/null
+++ b/internal/eventloop/actions.go
@@ -0,0 +1,69 @@
+package eventloop
+
+import (
+	"time"
+
+	"springfield/internal/upstream"
+	"springfield/policy"
+)
+
+// actions implements policy.Actions for the event loop. The engine calls it while the loop handles an event.
+type actions struct{ loop *Loop }
+
+var _ policy.Actions = actions{}
+
+// Forward starts an attempt, which is aborted at the given time or, if that is 0, at the call's deadline.
+func (a actions) Forward(id policy.RequestID, endpoint policy.EndpointID, until time.Duration) {
+	l := a.loop
+	c := l.calls[id]
+	if c == nil {
+		return
+	}
+	if until <= 0 || until > c.deadline {
+		until = c.deadline
+	}
+	c.attempt = &attempt{
+		upstream: upstream.NewAttempt(l.endpoints[endpoint], l.clock.ToTime(until)),
+		endpoint: endpoint,
+		number:   c.attempts,
+		sentAt:   l.now,
+	}
+	c.attempts++
+	c.attempt.timeout = timer{due: until, attempt: c.attempt}
+	l.timers.add(&c.attempt.timeout)
+	c.commands <- Forward{Attempt: c.attempt.upstream}
+}
+
+// Reject ends a call: its client may safely retry.
+func (a actions) Reject(id policy.RequestID, retryAfter time.Duration) {
+	a.loop.endCall(id, Reject{RetryAfter: retryAfter})
+}
+
+// Fail ends a call: its request may have run.
+func (a actions) Fail(id policy.RequestID) { a.loop.endCall(id, Fail{}) }
+
+// CancelAttempt aborts an attempt. Its result follows once its connection is closed.
+func (a actions) CancelAttempt(id policy.RequestID, number int) {
+	c := a.loop.calls[id]
+	if c != nil && c.attempt != nil && c.attempt.number == number {
+		c.attempt.upstream.Abort(policy.StatusCancelled)
+	}
+}
+
+// StartTimer starts a timer of the engine.
+func (a actions) StartTimer(after time.Duration, t policy.Timer) {
+	a.loop.timers.add(&timer{due: a.loop.now + after, engine: t})
+}
+
+// WatchEndpoints does nothing: discovery always watches the endpoint list.
+func (a actions) WatchEndpoints(bool) {}
+
+// endCall gives a call its last command, unless it has got that already.
+func (l *Loop) endCall(id policy.RequestID, last Command) {
+	c := l.calls[id]
+	if c == nil {
+		return
+	}
+	delete(l.calls, id)
+	c.commands <- last
+}
--- /dev/null
+++ b/internal/eventloop/loop.go
@@ -0,0 +1,88 @@
+// Package eventloop runs the policy engine. One goroutine owns the engine: it passes every event on to the engine and
+// carries out the actions that the engine requests. It does no I/O and waits only for its own channels.
+package eventloop
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"springfield/internal/clock"
+	"springfield/internal/upstream"
+	"springfield/policy"
+)
+
+// ErrStopped is returned for an event that comes after the event loop has stopped.
+var ErrStopped = errors.New("the event loop has stopped")
+
+const (
+	eventCapacity  = 1024
+	updateCapacity = 16
+)
+
+// Loop is the event loop of a gateway. Its methods may be called from any goroutine.
+type Loop struct {
+	clock   clock.Clock
+	pool    *upstream.Pool
+	events  chan event
+	updates chan endpointUpdate // take priority over events
+	stopped chan struct{}       // closed when Run returns
+
+	// The goroutine of Run owns the fields below.
+	engine        *policy.Engine
+	calls         map[policy.RequestID]*Call // open calls
+	lastRequestID policy.RequestID
+	endpoints     map[policy.EndpointID]*upstream.Endpoint
+	timers        timerQueue
+	now           time.Duration // when the present event was received
+	answerBy      time.Duration // every call is answered by then; 0: no shutdown has begun
+}
+
+// New returns an event loop that creates its endpoints in the pool. Run starts it.
+func New(c clock.Clock, config policy.Config, pool *upstream.Pool) *Loop {
+	l := &Loop{
+		clock:     c,
+		pool:      pool,
+		events:    make(chan event, eventCapacity),
+		updates:   make(chan endpointUpdate, updateCapacity),
+		stopped:   make(chan struct{}),
+		calls:     map[policy.RequestID]*Call{},
+		endpoints: map[policy.EndpointID]*upstream.Endpoint{},
+	}
+	l.engine = policy.New(config, actions{l})
+	return l
+}
+
+// Run handles events until ctx ends. It must be called once.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.stopped)
+	l.now = l.clock.Now()
+	l.engine.Start(l.now)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	var wakeAt time.Duration // when wake is due; 0: it is not set for any timer
+	for {
+		if due, ok := l.nextTimer(); ok && due != wakeAt {
+			wakeAt = due
+			wake.Reset(wakeAt - l.clock.Now())
+		}
+		select {
+		case update := <-l.updates:
+			l.updateEndpoints(update)
+			continue
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case update := <-l.updates:
+			l.updateEndpoints(update)
+		case e := <-l.events:
+			l.now = l.clock.Now()
+			e.apply(l)
+		case <-wake.C:
+			wakeAt = 0
+			l.fireTimers(l.clock.Now())
+		}
+	}
+}
--- /dev/null
+++ b/internal/frontend/body.go
@@ -0,0 +1,47 @@
+package frontend
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+// A body must have arrived at the later of these times after its connection was accepted and after its head was read.
+const (
+	bodyTimeoutFromAccept = 2700 * time.Millisecond
+	bodyTimeoutFromHead   = time.Second
+)
+
+// readBody reads the body of a request whose length has been checked. Its errors are of type *RequestError.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(bodyDeadline(r)); err != nil {
+		return nil, &RequestError{http.StatusInternalServerError, "set the read deadline: " + err.Error()}
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, &RequestError{http.StatusRequestTimeout, "the body did not arrive in time"}
+		}
+		return nil, badRequest("the body is incomplete: " + err.Error())
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, &RequestError{http.StatusInternalServerError, "clear the read deadline: " + err.Error()}
+	}
+	return body, nil
+}
+
+func bodyDeadline(r *http.Request) time.Time {
+	deadline := time.Now().Add(bodyTimeoutFromHead)
+	if conn := connectionOf(r); conn != nil {
+		if fromAccept := conn.acceptedAt.Add(bodyTimeoutFromAccept); fromAccept.After(deadline) {
+			return fromAccept
+		}
+	}
+	return deadline
+}
--- /dev/null
+++ b/internal/frontend/limiter_test.go
@@ -0,0 +1,171 @@
+package frontend
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"springfield/internal/testkit"
+)
+
+const testLimit = 100
+
+// bufferSize is for reads of the tests. net/http's watch for the client's end would read a single byte.
+const bufferSize = 9
+
+// newTestListener returns a listener on the loopback interface that is limited to testLimit connections.
+func newTestListener(t *testing.T) *limitedListener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() }) // fails when the test has closed it already
+	limiter := newConnectionLimiter(testLimit)
+	limiter.limit, limiter.reserve = testLimit, 0
+	limited := &limitedListener{limiter: limiter}
+	limited.attach(listener)
+	return limited
+}
+
+// acceptOne connects a client and returns both ends.
+func acceptOne(t *testing.T, listener *limitedListener) (*clientConn, *testkit.Client) {
+	t.Helper()
+	client := testkit.Dial(t, listener.Addr().String())
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn.(*clientConn), client
+}
+
+// makeIdle lets a connection serve one request.
+func makeIdle(t *testing.T, conn *clientConn) {
+	t.Helper()
+	if !conn.claim() {
+		t.Fatal("the connection is evicted")
+	}
+	conn.limiter.trackState(conn, http.StateIdle)
+}
+
+// readSome reads what the client has sent, at least one byte.
+func readSome(t *testing.T, conn *clientConn) int {
+	t.Helper()
+	n, err := conn.Read(make([]byte, bufferSize))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func wantOpen(t *testing.T, limiter *connectionLimiter, want int) {
+	t.Helper()
+	if got := limiter.excess() + testLimit; got != want {
+		t.Errorf("%d connections are open, want %d", got, want)
+	}
+}
+
+// Requirements 1 and 2: a connection must not be closed for another one while its next request is being read. The
+// client would send the request again while the first copy ran.
+func TestConnectionIsNotEvictedWhileRequestIsRead(t *testing.T) {
+	listener := newTestListener(t)
+	limiter, late := listener.limiter, time.Now().Add(time.Hour)
+	conn, client := acceptOne(t, listener)
+	makeIdle(t, conn)
+	if limiter.evict(time.Now()) {
+		t.Error("evicted though it has been idle for a moment only")
+	}
+	client.WriteText("GET")
+	readSome(t, conn)
+	if limiter.evict(late) || limiter.drained(late, false) {
+		t.Error("closed though a request is being read")
+	}
+	wantOpen(t, limiter, 1)
+}
+
+// Bytes that wait to be read keep a connection open.
+func TestConnectionWithUnreadBytesIsNotEvicted(t *testing.T) {
+	listener := newTestListener(t)
+	limiter, late := listener.limiter, time.Now().Add(time.Hour)
+	conn, client := acceptOne(t, listener)
+	makeIdle(t, conn)
+	client.WriteText("G")
+	testkit.Eventually(t, "the bytes", conn.hasUnread)
+	if limiter.evict(late) || limiter.drained(late, false) {
+		t.Error("closed though a request waits to be read")
+	}
+	wantOpen(t, limiter, 1)
+	if n := readSome(t, conn); n != 1 {
+		t.Errorf("read %d bytes, want 1", n)
+	}
+}
+
+// Bytes that come after the eviction has looked for some do not keep a connection open, and nobody reads them.
+func TestBytesAfterEvictionAreNotRead(t *testing.T) {
+	listener := newTestListener(t)
+	limiter, late := listener.limiter, time.Now().Add(time.Hour)
+	conn, client := acceptOne(t, listener)
+	makeIdle(t, conn)
+	limiter.hasUnread = func(c *clientConn) bool {
+		unread := c.hasUnread()
+		client.WriteText("GET")
+		testkit.Eventually(t, "the bytes", c.hasUnread)
+		return unread
+	}
+	if !limiter.evict(late) || conn.claim() {
+		t.Error("not evicted though it is idle")
+	}
+	if n, err := conn.Read(make([]byte, bufferSize)); n != 0 || err == nil {
+		t.Errorf("read %d bytes after the eviction, %v", n, err)
+	}
+}
+
+// The oldest connection that has not sent a complete head is evicted first.
+func TestEvictionOrder(t *testing.T) {
+	listener := newTestListener(t)
+	limiter, late := listener.limiter, time.Now().Add(time.Hour)
+	active, _ := acceptOne(t, listener)
+	if !active.claim() {
+		t.Fatal("the active connection is evicted")
+	}
+	idle, _ := acceptOne(t, listener)
+	makeIdle(t, idle)
+	incomplete, client := acceptOne(t, listener)
+	client.WriteText("GET")
+	readSome(t, incomplete)
+	silent, _ := acceptOne(t, listener)
+	for _, want := range []*clientConn{incomplete, silent, idle} {
+		if !limiter.evict(late) || want.state != stateEvicted {
+			t.Errorf("another connection was evicted than one in state %d", want.state)
+		}
+	}
+	if limiter.evict(late) {
+		t.Error("evicted an active connection")
+	}
+	wantOpen(t, limiter, 1)
+}
+
+// Requirement 1 in a drain: its end cuts no request off, and a head that is complete only then is not served.
+func TestDrainEndsBetweenRequests(t *testing.T) {
+	listener := newTestListener(t)
+	limiter, now := listener.limiter, time.Now()
+	conn, client := acceptOne(t, listener)
+	client.WriteText("GET")
+	readSome(t, conn)
+	if limiter.drained(now, false) {
+		t.Error("the drain ended while a head was incomplete")
+	}
+	if !conn.claim() || limiter.drained(now, true) {
+		t.Error("the drain ended during a request")
+	}
+	conn.state = stateReadingHead
+	if !limiter.drained(now, true) || conn.claim() {
+		t.Error("a request was accepted after the end of the drain")
+	}
+	if _, err := client.Reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection ended with %v", err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/connections_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"springfield/internal/config"
+	"springfield/internal/testkit"
+)
+
+// fewDescriptors leaves 5 connections for clients.
+func fewDescriptors(cfg *config.Config, _ *options) { cfg.Limits.Sockets = 10 }
+
+// Past the clients' share of the descriptors idle connections are closed, and every new connection is answered.
+func TestIdleConnectionsAreEvictedAtLimit(t *testing.T) {
+	g, _ := startGatewayWith(t, fewDescriptors, okServer(t))
+	g.client.CloseIdleConnections()
+	const connections, evictions = 12, 5
+	var clients []*testkit.Client
+	for i := range connections {
+		client := g.dial()
+		client.WriteText("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		if response := client.ReadResponse(); response.Status != http.StatusOK {
+			t.Fatalf("connection %d: got %+v", i, response)
+		}
+		clients = append(clients, client)
+	}
+	evicted := make(chan struct{}, connections)
+	for _, client := range clients {
+		go func() {
+			if _, err := client.Reader.ReadByte(); errors.Is(err, io.EOF) {
+				evicted <- struct{}{}
+			}
+		}()
+	}
+	for range evictions {
+		testkit.WaitFor(t, "a closed connection", evicted)
+	}
+}
+
+// Connections that send nothing do not keep other clients waiting, also when they fill the limit.
+func TestSilentConnectionsAreEvictedAtLimit(t *testing.T) {
+	g, _ := startGatewayWith(t, fewDescriptors, okServer(t))
+	for range 40 {
+		g.dial()
+	}
+	g.client.CloseIdleConnections()
+	if response := g.lookup(testkit.Plan); response.Status != http.StatusOK {
+		t.Errorf("got %+v", response)
+	}
+}
+
+// A connection on which a request does not become complete ends in time, also without a byte.
+func TestIncompleteRequestIsEnded(t *testing.T) {
+	g, _ := startGateway(t)
+	for _, text := range []string{
+		"",
+		"POST /add",
+		"POST " + addPath + " HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nPlan: team\r\nReq-Deadline: 5\r\n" +
+			"Idempotency-Key: k\r\nQuota-Info: units=1,spread=1,first=0\r\nContent-Length: 9\r\n\r\nhalf",
+	} {
+		client := g.dial()
+		client.WriteText(text)
+		all, err := io.ReadAll(client.Reader)
+		if err != nil || strings.HasSuffix(text, "half") != strings.Contains(string(all), " 408 ") {
+			t.Errorf("%q: got %q, %v", text, all, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/malformed_test.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"springfield/internal/testkit"
+)
+
+// malformedRequest is a request that must be answered with an error before it is forwarded.
+type malformedRequest struct {
+	line    string
+	headers []string
+	body    string
+	want    string // the status
+}
+
+const (
+	getLine    = "GET " + lookupPath + " HTTP/1.1"
+	postLine   = "POST " + addPath + " HTTP/1.1"
+	post10Line = "POST " + addPath + " HTTP/1.0"
+)
+
+// goodHeaders are the headers that a complete lookup needs.
+var goodHeaders = []string{"Req-Id: a", "Plan: team", "Req-Deadline: 5", "Quota-Info: units=2,spread=1,first=0"}
+
+// with is goodHeaders without the one that begins with dropped, "" for none, and with more headers behind.
+func with(dropped string, more ...string) []string {
+	var headers []string
+	for _, header := range goodHeaders {
+		if dropped == "" || !strings.HasPrefix(header, dropped) {
+			headers = append(headers, header)
+		}
+	}
+	return append(headers, more...)
+}
+
+// withKey is goodHeaders with an idempotency key and more headers behind.
+func withKey(more ...string) []string {
+	return append(with("", "Idempotency-Key: k"), more...)
+}
+
+var malformedPaths = []malformedRequest{
+	{"GET /nothing" + testkit.CustomerPath + " HTTP/1.1", goodHeaders, "", "404"},
+	{"GET / HTTP/1.1", goodHeaders, "", "404"},
+	{"GET /lookup HTTP/1.1", goodHeaders, "", "404"},
+	{"OPTIONS * HTTP/1.1", goodHeaders, "", "404"},
+	{"GET /health/live HTTP/1.1", nil, "", "404"},
+	{"GET /lookup/ HTTP/1.1", goodHeaders, "", "400"},
+	{"GET /lookup/b4d65521 HTTP/1.1", goodHeaders, "", "400"},
+	{"GET /lookup/-0000000b4d65521 HTTP/1.1", goodHeaders, "", "400"},
+	{"GET /lookup/0000000200000000 HTTP/1.1", goodHeaders, "", "400"},
+	{"POST " + lookupPath + " HTTP/1.1", goodHeaders, "", "405"},
+	{"GET " + addPath + " HTTP/1.1", goodHeaders, "", "405"},
+	{"GET", goodHeaders, "", "400"},
+}
+
+var malformedHeaders = []malformedRequest{
+	{getLine, with("Req-Id"), "", "400"},
+	{getLine, with("", "Req-Id: b"), "", "400"},
+	{getLine, with("Plan"), "", "400"},
+	{getLine, with("Plan", "Plan: none"), "", "400"},
+	{getLine, with("", "Plan: team"), "", "400"},
+	{getLine, with("Req-Deadline"), "", "400"},
+	{getLine, with("Req-Deadline", "Req-Deadline: NaN"), "", "400"},
+	{getLine, with("Req-Deadline", "Req-Deadline: -1"), "", "400"},
+	{getLine, with("", "Req-Deadline: 5"), "", "400"},
+	{getLine, with("Req-Deadline", "Req-Deadline: Inf"), "", "400"},
+	{getLine, with("Req-Deadline", "Req-Deadline: 0x1p3"), "", "400"},
+	{getLine, with("Req-Deadline", "Req-Deadline: 1e3"), "", "400"},
+	{getLine, with("Req-Deadline", "Req-Deadline: +5"), "", "400"},
+	{getLine, with("Req-Deadline", "Req-Deadline: 1.2.3"), "", "400"},
+	{getLine, with("Req-Deadline", "Req-Deadline: 0"), "", "400"},
+	{getLine, with("", "X: "+strings.Repeat("x", 40<<10)), "", "431"},
+}
+
+var malformedQuotaInfo = []malformedRequest{
+	{getLine, with("Quota-Info"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=NaN,spread=1,first=0"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1e300,spread=1,first=0"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1,spread=0,first=0"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1,spread=1,first=1"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1,spread=1,first=-1"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1,spread=1,first=0,units=2"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1,spread=1,first=0,more=1"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1,spread=1,first=0,"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1,spread=1"), "", "400"},
+	{getLine, with("Quota-Info", "Quota-Info: units=1,spread=1.5,first=0"), "", "400"},
+	{getLine, with("", "Quota-Info: units=1,spread=1,first=0"), "", "400"},
+}
+
+var malformedBodies = []malformedRequest{
+	{getLine, with("", "Content-Length: 1"), "x", "400"},
+	{postLine, with("", "Content-Length: 1"), "x", "400"}, // no idempotency key
+	{postLine, withKey("Content-Length: 65537"), "", "413"},
+	{postLine, withKey("Transfer-Encoding: chunked"), "10001\r\n" + strings.Repeat("x", 0x10001) + "\r\n0\r\n\r\n", "400"},
+	{postLine, withKey("Transfer-Encoding: chunked"), "1\r\nx\r\n0\r\n\r\n", "400"},
+	{postLine, withKey("Idempotency-Key: l", "Content-Length: 1"), "x", "400"},
+	{postLine, withKey("Content-Length: -1"), "x", "400"},
+	{postLine, withKey("Content-Length: 1", "Content-Length: 2"), "xx", "400"},
+	{postLine, withKey("Content-Length: 62914560"), strings.Repeat("x", 1<<20), "413"},
+	{post10Line, withKey("Transfer-Encoding: chunked", "Content-Length: 1"), "x", "400"},
+	{"GET /health/ready HTTP/1.1", with("", "Transfer-Encoding: chunked"), "0\r\n\r\n", "400"},
+	{postLine, withKey("Transfer-Encoding: chunked"), "what\r\n", "400"},
+}
+
+func TestMalformedRequestIsNotForwarded(t *testing.T) {
+	server := okServer(t)
+	g, _ := startGateway(t, server)
+	for name, requests := range map[string][]malformedRequest{
+		"path":       malformedPaths,
+		"headers":    malformedHeaders,
+		"quota info": malformedQuotaInfo,
+		"body":       malformedBodies,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, request := range requests {
+				testMalformedRequest(t, g.address, request)
+			}
+		})
+	}
+	if server.Requests.Load() != 0 {
+		t.Errorf("%d requests reached the server", server.Requests.Load())
+	}
+	if response := g.lookup(testkit.Plan); response.Status != http.StatusOK {
+		t.Errorf("a good request: got %+v", response)
+	}
+}
+
+func testMalformedRequest(t *testing.T, address string, request malformedRequest) {
+	t.Helper()
+	client := testkit.Dial(t, address)
+	text := request.line + "\r\nHost: origin.svc\r\n"
+	for _, header := range request.headers {
+		text += header + "\r\n"
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		_, _ = io.WriteString(client.Conn, text+"\r\n"+request.body) // the gateway may end it before it is complete
+	}()
+	status, err := client.Reader.ReadString('\n')
+	if fields := strings.Fields(status); err != nil || len(fields) < 2 || fields[1] != request.want {
+		t.Errorf("%s %.60q: got %q, %v; want %s", request.line, request.headers, status, err, request.want)
+	}
+	if err := client.Close(); err != nil {
+		t.Error(err)
+	}
+	<-sent
+}
+
+// A request with both a length and a transfer coding may hide another one in its body.
+func TestNoRequestIsSmuggledInBody(t *testing.T) {
+	server := okServer(t)
+	g, _ := startGateway(t, server)
+	hidden := "GET " + lookupPath + " HTTP/1.1\r\nHost: x\r\nReq-Id: hidden\r\nPlan: team\r\n" +
+		"Req-Deadline: 5\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n"
+	for _, version := range []string{"1.0", "1.1"} {
+		client := g.dial()
+		body := "0\r\n\r\n" + hidden
+		client.WriteText(fmt.Sprintf("POST %s HTTP/%s\r\nHost: x\r\nConnection: keep-alive\r\nReq-Id: outer\r\n"+
+			"Plan: team\r\nReq-Deadline: 5\r\nIdempotency-Key: k\r\nQuota-Info: units=1,spread=1,first=0\r\n"+
+			"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", addPath, version, len(body), body))
+		all, err := io.ReadAll(client.Reader)
+		if err != nil || strings.Count(string(all), "HTTP/1.") != 1 || !strings.Contains(string(all), " 400 ") {
+			t.Errorf("HTTP/%s: got %q, %v", version, all, err)
+		}
+	}
+	if server.Requests.Load() != 0 {
+		t.Errorf("%d requests reached the server", server.Requests.Load())
+	}
+}
--- a/internal/settings/policy.go
+++ b/internal/settings/policy.go
@@ -2,9 +2,6 @@
 
 import "springfield/policy"
 
-// Config calls PolicyConfig. It is kept for internal/node alone and is to be removed together with it.
-func Config(s *Settings, seed uint64) policy.Config { return PolicyConfig(s, seed) }
-
 // PolicyConfig returns the policy's configuration for a deployment. The seed is for the policy's random numbers.
 func PolicyConfig(s *Settings, seed uint64) policy.Config {
 	config := policy.Config{
--- /dev/null
+++ b/internal/upstream/attempt.go
@@ -0,0 +1,217 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"springfield/policy"
+)
+
+// Attempt is one attempt of a request at an endpoint. Its reads and writes have no deadlines of their own:
+// its owner calls Abort when its time is up.
+type Attempt struct {
+	endpoint *Endpoint
+	deadline time.Time
+
+	mu          sync.Mutex
+	conn        net.Conn           // not nil while the request is out on it
+	cancelDial  context.CancelFunc // not nil while a connection is being dialed
+	aborted     bool
+	abortStatus policy.Status
+}
+
+// Result tells how an attempt ended.
+type Result struct {
+	Status   policy.Status
+	HasUsage bool     // Usage is set
+	Usage    float64  // the customer's usage as a share of its quota
+	Response Response // set if a complete response came
+}
+
+// NewAttempt returns an attempt that is to be carried out with Do. The endpoint is nil if it has left the
+// list; the attempt is not sent then. Neither is an attempt whose first byte would be sent after the deadline.
+func NewAttempt(endpoint *Endpoint, deadline time.Time) *Attempt {
+	return &Attempt{endpoint: endpoint, deadline: deadline}
+}
+
+// Abort ends the attempt: it is cancelled, timed out, or its endpoint was replaced. Do closes the connection
+// and only then returns a result with the given status, so that two attempts of a request are never out at
+// once.
+func (a *Attempt) Abort(status policy.Status) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.abortLocked(status)
+}
+
+// AbortUnsent cancels the attempt if nothing has been sent yet. An attempt that has begun to send goes on.
+func (a *Attempt) AbortUnsent() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn == nil {
+		a.abortLocked(policy.StatusCancelled)
+	}
+}
+
+// abortLocked aborts the attempt; the caller holds a.mu.
+func (a *Attempt) abortLocked(status policy.Status) {
+	if a.aborted {
+		return
+	}
+	a.aborted, a.abortStatus = true, status
+	if a.cancelDial != nil {
+		a.cancelDial()
+	}
+	if a.conn != nil {
+		_ = a.conn.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection, where nothing waits
+	}
+}
+
+// Do carries the attempt out, from the connection to the last byte of the response. It is called once. It
+// sets the request's Req-Deadline header.
+func (a *Attempt) Do(request *http.Request) Result {
+	if a.endpoint == nil || !a.endpoint.ready.Load() {
+		return Result{Status: policy.StatusNotSent}
+	}
+	a.endpoint.addActive(a)
+	defer a.endpoint.removeActive(a)
+	buffer := requestBuffers.Get().(*bytes.Buffer)
+	buffer.Reset()
+	defer requestBuffers.Put(buffer)
+
+	c, err := a.connect()
+	if err != nil {
+		return Result{Status: connectStatus(err)}
+	}
+	request.Header["Req-Deadline"] = []string{formatSeconds(time.Until(a.deadline))}
+	if err := request.Write(buffer); err != nil || !a.startSending(c) {
+		a.endpoint.releaseIdle(c)
+		return Result{Status: policy.StatusNotSent}
+	}
+	return a.exchange(c, request, buffer.Bytes())
+}
+
+// requestBuffers holds buffers of type *bytes.Buffer in which requests are encoded.
+var requestBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(max(0, d.Seconds()), 'f', 3, 64)
+}
+
+// exchange writes the encoded request and reads its response.
+func (a *Attempt) exchange(c *connection, request *http.Request, encoded []byte) Result {
+	written, err := c.Write(encoded)
+	if written < len(encoded) {
+		a.stopSending()
+		a.endpoint.pool.closeConnection(c)
+		return Result{Status: policy.StatusConnectFailed} // an incomplete request can't have run
+	}
+	var result Result
+	var keep bool
+	if err == nil {
+		result, keep, err = c.readResponse(request)
+	}
+	aborted, abortStatus := a.stopSending()
+	if err == nil && keep && !aborted {
+		a.endpoint.releaseIdle(c)
+	} else {
+		a.endpoint.pool.closeConnection(c)
+	}
+	switch {
+	case err == nil:
+		return result
+	case aborted:
+		return Result{Status: abortStatus}
+	default:
+		return Result{Status: policy.StatusReset}
+	}
+}
+
+// startSending marks the request as being out on the connection. It fails if the attempt must not be sent
+// any more. This is the last check before the first byte.
+func (a *Attempt) startSending(c *connection) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.aborted || !a.endpoint.ready.Load() || !time.Now().Before(a.deadline) {
+		return false
+	}
+	a.conn = c.Conn
+	return true
+}
+
+// stopSending detaches the connection. It reports whether the attempt was aborted, and with which status.
+func (a *Attempt) stopSending() (aborted bool, status policy.Status) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = nil
+	return a.aborted, a.abortStatus
+}
+
+// connect returns an idle connection to the endpoint or opens one.
+func (a *Attempt) connect() (*connection, error) {
+	if c := a.endpoint.acquireIdle(); c != nil {
+		return c, nil
+	}
+	pool := a.endpoint.pool
+	if !pool.reserveConnection() {
+		return nil, errPoolFull
+	}
+	conn, err := a.dial()
+	if err != nil {
+		pool.freeConnection()
+		return nil, err
+	}
+	c, err := newConnection(conn)
+	if err != nil {
+		_ = conn.Close() // nothing has been sent on it
+		pool.freeConnection()
+		return nil, err
+	}
+	return c, nil
+}
+
+// dial opens a connection to the endpoint, unless the attempt is aborted before. A connection that is open
+// by then is returned all the same, for another attempt can use it.
+func (a *Attempt) dial() (net.Conn, error) {
+	pool := a.endpoint.pool
+	ctx, cancel := context.WithDeadline(context.Background(), earlier(a.deadline, time.Now().Add(pool.dialTimeout)))
+	defer cancel()
+	if !a.startDial(cancel) {
+		return nil, errAttemptAborted
+	}
+	conn, err := pool.dial(ctx, "tcp", a.endpoint.address)
+	if aborted := a.stopDial(); err != nil && aborted {
+		return nil, errAttemptAborted
+	}
+	return conn, err
+}
+
+// startDial makes an abort cancel the dial. It fails if the attempt is aborted already.
+func (a *Attempt) startDial(cancel context.CancelFunc) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.aborted {
+		return false
+	}
+	a.cancelDial = cancel
+	return true
+}
+
+// stopDial reports whether the attempt was aborted while its connection was being dialed.
+func (a *Attempt) stopDial() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancelDial = nil
+	return a.aborted
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,123 @@
+// Package upstream sends requests to the endpoints over pooled HTTP/1.1 connections. Unlike http.Transport
+// it never sends a request twice, and it reports whether a request that failed may have run.
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// sweepInterval is the time between two searches for idle connections that are to be closed.
+const sweepInterval = 2 * time.Second
+
+// defaultReuseDelay is the time for which a connection is not reused after a response. Some responses come
+// twice, the second copy some milliseconds late, and nothing tells to which request a response belongs. On a
+// connection that is still idle the second copy shows up as unsolicited bytes; on one that was reused at
+// once it would be taken for the response to the next request. A longer delay costs handshakes.
+const defaultReuseDelay = 20 * time.Millisecond
+
+// Dialer opens a connection. It has the signature of net.Dialer.DialContext, and its connections implement
+// syscall.Conn.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options configures a Pool.
+type Options struct {
+	Dial           Dialer // nil: that of a net.Dialer
+	DialTimeout    time.Duration
+	IdleTimeout    time.Duration // a connection that has been idle for longer is closed
+	MaxConnections int           // to all endpoints together
+}
+
+// Pool holds the connections to the endpoints.
+type Pool struct {
+	dial            Dialer
+	dialTimeout     time.Duration
+	idleTimeout     time.Duration
+	reuseDelay      time.Duration
+	maxConnections  int64
+	openConnections atomic.Int64 // those that are being dialed included
+
+	mu        sync.Mutex
+	endpoints map[*Endpoint]struct{}
+}
+
+// NewPool returns a pool without endpoints.
+func NewPool(options Options) *Pool {
+	p := &Pool{
+		dial:           options.Dial,
+		dialTimeout:    options.DialTimeout,
+		idleTimeout:    options.IdleTimeout,
+		reuseDelay:     defaultReuseDelay,
+		maxConnections: int64(options.MaxConnections),
+		endpoints:      map[*Endpoint]struct{}{},
+	}
+	if p.dial == nil {
+		p.dial = new(net.Dialer).DialContext
+	}
+	return p
+}
+
+// Run closes idle connections that are old or that the peer has closed, until the context ends.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.sweep(time.Now())
+		}
+	}
+}
+
+// AddEndpoint adds a process that listens at the address. It is not ready yet. startedAt tells it from
+// other processes at the same address.
+func (p *Pool) AddEndpoint(address string, startedAt time.Duration) *Endpoint {
+	e := &Endpoint{pool: p, address: address, startedAt: startedAt, active: map[*Attempt]struct{}{}}
+	p.mu.Lock()
+	p.endpoints[e] = struct{}{}
+	p.mu.Unlock()
+	return e
+}
+
+func (p *Pool) removeEndpoint(e *Endpoint) {
+	p.mu.Lock()
+	delete(p.endpoints, e)
+	p.mu.Unlock()
+}
+
+func (p *Pool) sweep(now time.Time) {
+	for _, e := range p.listEndpoints() {
+		e.sweep(now)
+	}
+}
+
+func (p *Pool) listEndpoints() []*Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]*Endpoint, 0, len(p.endpoints))
+	for e := range p.endpoints {
+		list = append(list, e)
+	}
+	return list
+}
+
+// reserveConnection reserves the place of one connection. It fails if the pool is full.
+func (p *Pool) reserveConnection() bool {
+	if p.openConnections.Add(1) > p.maxConnections {
+		p.freeConnection()
+		return false
+	}
+	return true
+}
+
+func (p *Pool) freeConnection() { p.openConnections.Add(-1) }
+
+func (p *Pool) closeConnection(c *connection) {
+	_ = c.Close() // it is not used any more, whatever the result
+	p.freeConnection()
+}
