Log an early end of the client listener in a drain instead of dropping its error

Cause: errcheck and staticcheck disagree about a bare receive of an error; the error was dropped unseen. Change: anything but net.ErrClosed is logged. The drain goes on as before.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"time"
 )
@@ -39,7 +41,9 @@
 	}
 	// Connections in the machine's accept queue are accepted before the listener is closed.
 	parts.server.StopAccepting()
-	_ = <-served         // net.ErrClosed, since accepting has stopped
+	if err := <-served; !errors.Is(err, net.ErrClosed) {
+		slog.Warn("accepting failed", "err", err)
+	}
 	_ = listener.Close() // nothing is left in it
 
 	// http.Server.Shutdown would close connections whose request is just being read.
