Test that the result of an attempt names its number and its endpoint

Cause: TestOutcomes of the old node checked both fields of a result; upstream.Result holds neither now, the event loop adds them. Change: a test of the event loop; it fails with either field wrong (tried on a scratch copy).

--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"springfield/internal/clock"
 	"springfield/internal/discovery"
@@ -46,3 +47,42 @@
 		t.Errorf("got %v, want %v", err, context.Canceled)
 	}
 }
+
+// The result of an attempt names its number and its endpoint: the engine retries only after the result of the attempt
+// that it has in flight, and ejects the endpoint that the result names.
+func TestResultNamesItsAttemptAndEndpoint(t *testing.T) {
+	loop := newTestLoop(t, nil)
+	update := discovery.Update{Kind: policy.UpdateFull}
+	for id := policy.EndpointID(11); id <= 13; id++ {
+		update.Endpoints = append(update.Endpoints, discovery.Endpoint{
+			Endpoint: policy.Endpoint{ID: id, Weight: 1, State: policy.StateReady},
+			Address:  "127.0.0.1:1",
+		})
+	}
+	if _, err := loop.PublishEndpoints(t.Context(), update); err != nil {
+		t.Fatal(err)
+	}
+	loop.updateEndpoints(<-loop.updates)
+
+	retried := submitAt(loop, loop.now)
+	rejecting := retried.attempt.endpoint
+	for number := range 2 {
+		if _, ok := (<-retried.Commands()).(Forward); !ok || retried.attempt.number != number {
+			t.Fatalf("attempt %d was not forwarded: %+v", number, retried.attempt)
+		}
+		loop.FinishAttempt(retried, upstream.Result{Status: policy.StatusRejected})
+		loop.handleEvent(loop.now + time.Millisecond)
+		if len(retried.Commands()) != 1 {
+			t.Fatalf("no command follows the result of attempt %d", number)
+		}
+	}
+	for customer := range 6 {
+		call := NewCall(policy.Request{Customer: policy.CustomerID(customer + 1), Units: 1, SetSize: 1},
+			loop.now+time.Second)
+		loop.Submit(call)
+		loop.handleEvent(loop.now)
+		if call.attempt == nil || call.attempt.endpoint == rejecting {
+			t.Errorf("endpoint %d has rejected a request and gets another one: %+v", rejecting, call.attempt)
+		}
+	}
+}
--- a/policy/engine_test.go
+++ b/policy/engine_test.go
@@ -75,8 +75,12 @@
 func TestTimerIsPendingWhileItHasAnEffect(t *testing.T) {
 	gateway := start(config(), 2)
 	engine := gateway.engine
+	managerTimer := gateway.lastTimer
 	gateway.submit(1, idempotentClass, costlyPlan, 1)
-	managerTimer, silenceTimer := gateway.timers[0], gateway.timers[1]
+	silenceTimer := gateway.lastTimer
+	if managerTimer.Kind != TimerManager || silenceTimer.Kind != TimerSilence {
+		t.Fatalf("started %+v and %+v, want the manager's timer and an attempt's", managerTimer, silenceTimer)
+	}
 	if !engine.TimerPending(managerTimer) || !engine.TimerPending(silenceTimer) {
 		t.Error("a timer in use is not pending")
 	}
@@ -85,8 +89,8 @@
 		t.Error("after the answer not the manager's timer alone is pending")
 	}
 	gateway.submit(2, idempotentClass, ceilingPlan, 1) // held for the ceiling
-	releaseTimer := gateway.timers[len(gateway.timers)-1]
-	if !engine.TimerPending(releaseTimer) {
+	releaseTimer := gateway.lastTimer
+	if releaseTimer.Kind != TimerRelease || !engine.TimerPending(releaseTimer) {
 		t.Error("a held request's timer is not pending")
 	}
 	engine.ClientDisconnected(gateway.now, 2)
--- a/policy/harness_test.go
+++ b/policy/harness_test.go
@@ -85,7 +85,7 @@
 	rejected  []RequestID
 	failed    []RequestID
 	cancelled []RequestID // by attempt: a request may occur more than once
-	timers    []Timer     // all that were started
+	lastTimer Timer       // the one that was started last
 	queue     eventQueue  // the timers that have not fired
 }
 
@@ -146,7 +146,7 @@
 }
 
 func (r *recorder) StartTimer(after time.Duration, timer Timer) {
-	r.timers = append(r.timers, timer)
+	r.lastTimer = timer
 	at := r.now + after
 	r.queue.add(at, func() { r.engine.TimerFired(at, timer) })
 }
