--- a/internal/gateway/client_departure_test.go
+++ b/internal/gateway/client_departure_test.go
@@ -106,7 +106,7 @@
 			d.leave(t, client)
 			g.awaitClosed("leaver")
 			watch := testkit.Receive(t, "the watch", registry.Watches)
-			watch <- testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0))
+			send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
 			g.wantOnlyLookup(server)
 		}
 	})
@@ -151,7 +151,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i := range 20 {
+	const clients = 100 // not every one is read so late that its request would be forwarded
+	for i := range clients {
 		client := testkit.Dial(t, listener.Addr().String())
 		client.WriteText(testkit.RequestHead(http.MethodGet, "lookup", fmt.Sprint("gone", i), "5"))
 		closeClient(t, client)
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -22,24 +22,24 @@
 		t.Fatalf("got %+v", response)
 	}
 	watch := testkit.Receive(t, "the watch", registry.Watches)
-	watch <- ""
-	watch <- testkit.EndpointListJSON(2, false,
+	send(t, watch, "")
+	send(t, watch, testkit.EndpointListJSON(2, false,
 		testkit.EndpointLine("s-1", two.Address(), "up", 0),
-		testkit.EndpointLine("s-0", one.Address(), "draining", 0))
+		testkit.EndpointLine("s-0", one.Address(), "draining", 0)))
 	testkit.WaitFor(t, "the end of the idle connection", one.Closed) // the event loop has the update
 	response := g.lookup(testkit.Plan)
 	if response.Status != http.StatusOK || one.Requests.Load() != 1 || two.Requests.Load() != 1 {
 		t.Errorf("draining: got %+v, %d and %d", response, one.Requests.Load(), two.Requests.Load())
 	}
 
-	watch <- testkit.EndpointListJSON(3, false, testkit.EndpointLine("s-1", two.Address(), "up", 5000))
+	send(t, watch, testkit.EndpointListJSON(3, false, testkit.EndpointLine("s-1", two.Address(), "up", 5000)))
 	testkit.WaitFor(t, "the end of the old process's connection", two.Closed)
 	response = g.lookup(testkit.Plan)
 	if response.Status != http.StatusOK || two.Requests.Load() != 2 {
 		t.Errorf("restarted: got %+v, %d", response, two.Requests.Load())
 	}
 
-	watch <- testkit.EndpointListJSON(4, true, testkit.EndpointLine("s-0", one.Address(), "up", 6000))
+	send(t, watch, testkit.EndpointListJSON(4, true, testkit.EndpointLine("s-0", one.Address(), "up", 6000)))
 	testkit.WaitFor(t, "the end of the removed endpoint's connection", two.Closed)
 	response = g.lookup(testkit.Plan)
 	if response.Status != http.StatusOK || one.Requests.Load() != 2 {
@@ -70,9 +70,9 @@
 	client.WriteText(slowRequest(class, "a"))
 	testkit.WaitFor(t, "the dial", gate.Dialing)
 	watch := testkit.Receive(t, "the watch", registry.Watches)
-	watch <- testkit.EndpointListJSON(2, false,
+	send(t, watch, testkit.EndpointListJSON(2, false,
 		testkit.EndpointLine("s-0", old.Address(), "draining", 0),
-		testkit.EndpointLine("s-1", fresh.Address(), "up", 0))
+		testkit.EndpointLine("s-1", fresh.Address(), "up", 0)))
 	probes := 0
 	testkit.Eventually(t, "the new list", func() bool { // a probe that still goes to the old endpoint is not answered
 		probes++
@@ -111,9 +111,9 @@
 	testkit.Receive(t, "the watch", registry.Watches)
 	registry.CloseClientConnections()
 	watch := testkit.Receive(t, "the next watch", registry.Watches)
-	watch <- testkit.EndpointListJSON(2, false,
+	send(t, watch, testkit.EndpointListJSON(2, false,
 		testkit.EndpointLine("s-0", one.Address(), "draining", 0),
-		testkit.EndpointLine("s-1", two.Address(), "up", 0))
+		testkit.EndpointLine("s-1", two.Address(), "up", 0)))
 	testkit.WaitFor(t, "the end of the idle connection", one.Closed) // the event loop has the update
 	for range 3 {
 		if response := g.lookup(testkit.Plan); response.Status != http.StatusOK {
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -126,6 +126,6 @@
 	g.awaitListenerClosed()
 	server := okServer(t)
 	watch := testkit.Receive(t, "the watch", registry.Watches)
-	watch <- testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0))
+	send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
 	wantLastResponse(t, g, client)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"springfield/internal/config"
 	"springfield/internal/discovery"
@@ -203,6 +204,16 @@
 	return testkit.NewServer(t, testkit.Reply(testkit.ResponseOK, true))
 }
 
+// send writes a line to a watch of the gateway.
+func send(t testing.TB, watch chan<- string, line string) {
+	t.Helper()
+	select {
+	case watch <- line:
+	case <-time.After(testkit.Timeout):
+		t.Fatal("the watch has ended")
+	}
+}
+
 // slow gives requests more time than any test waits.
 func slow(cfg *config.Config, _ *options) { testkit.SlowSettings(&cfg.Settings) }
 
