--- /dev/null
+++ b/internal/baseline/even_split.go
@@ -0,0 +1,46 @@
+package baseline
+
+import (
+	"time"
+
+	"springfield/policy"
+)
+
+// evenSplit is a token bucket for each customer, with an even part of its quota.
+type evenSplit struct {
+	cfg       *policy.Config
+	customers map[policy.CustomerID]*tokenBucket
+}
+
+// tokenBucket holds the units that a customer may still use at this gateway.
+type tokenBucket struct {
+	tokens    float64
+	updatedAt time.Duration
+}
+
+func newEvenSplit(cfg *policy.Config) *evenSplit {
+	return &evenSplit{cfg: cfg, customers: map[policy.CustomerID]*tokenBucket{}}
+}
+
+// admit charges a request to its customer's bucket. A bucket holds the largest request at least, or a customer of many
+// gateways could never send one.
+func (s *evenSplit) admit(now time.Duration, r *request) bool {
+	if r.Plan < 0 || r.Plan >= len(s.cfg.Plans) || s.cfg.Plans[r.Plan].QuotaRate <= 0 {
+		return true
+	}
+	plan := &s.cfg.Plans[r.Plan]
+	size := float64(max(1, r.SetSize))
+	capacity := max(plan.Burst/size, s.cfg.MaxRequestUnits, 1)
+	bucket := s.customers[r.Customer]
+	if bucket == nil {
+		bucket = &tokenBucket{tokens: capacity, updatedAt: now}
+		s.customers[r.Customer] = bucket
+	}
+	earned := plan.QuotaRate / size * (now - bucket.updatedAt).Seconds()
+	bucket.tokens, bucket.updatedAt = min(capacity, bucket.tokens+earned), now
+	if bucket.tokens < r.Units {
+		return false
+	}
+	bucket.tokens -= r.Units
+	return true
+}
--- /dev/null
+++ b/internal/baseline/gateway.go
@@ -0,0 +1,240 @@
+package baseline
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"springfield/policy"
+)
+
+// maxAttempts bounds the attempts of a request where the deployment does not.
+const maxAttempts = 3
+
+// gateway is what all baselines share: it keeps the rules, and leaves admission and choice to two functions.
+type gateway struct {
+	cfg       policy.Config
+	actions   policy.Actions
+	random    *rand.Rand
+	requests  map[policy.RequestID]*request
+	endpoints map[policy.EndpointID]*endpoint
+	list      []*endpoint // by id
+
+	// admit reports whether a new request is forwarded at all.
+	admit func(now time.Duration, r *request) bool
+	// choose picks one of the endpoints that the rules allow; there is at least one.
+	choose func(r *request, candidates []*endpoint) *endpoint
+}
+
+type request struct {
+	policy.Request
+	class        *policy.Class
+	deadline     time.Duration
+	attempts     int
+	inFlight     *endpoint // nil without an attempt
+	sentAt       time.Duration
+	mayHaveRunOn *endpoint // of the first attempt that may have been executed
+	mayHaveRunAt time.Duration
+	disconnected bool // the client is owed nothing any more; the attempt is still in flight
+}
+
+type endpoint struct {
+	policy.Endpoint
+	inFlight int
+}
+
+func newGateway(cfg policy.Config, actions policy.Actions) *gateway {
+	return &gateway{
+		cfg: cfg, actions: actions, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.GatewayIndex))),
+		requests: map[policy.RequestID]*request{}, endpoints: map[policy.EndpointID]*endpoint{},
+	}
+}
+
+// Start implements emulator.Decider.
+func (g *gateway) Start(time.Duration) {
+	if g.cfg.PolledEndpoints {
+		g.actions.WatchEndpoints(true)
+	}
+}
+
+// UpdateEndpoints implements emulator.Decider.
+func (g *gateway) UpdateEndpoints(_ time.Duration, kind policy.UpdateKind, list []policy.Endpoint) {
+	if kind == policy.UpdateFailed {
+		g.actions.StartTimer(time.Second, policy.Timer{Kind: policy.TimerWatch})
+		return
+	}
+	named := make(map[policy.EndpointID]bool, len(list))
+	for _, in := range list {
+		named[in.ID] = true
+		ep := g.endpoints[in.ID]
+		if ep == nil {
+			ep = &endpoint{}
+			g.endpoints[in.ID] = ep
+		}
+		ep.Endpoint = in
+	}
+	for id, ep := range g.endpoints {
+		absent := kind != policy.UpdateDelta && !named[id]
+		if absent || ep.State == policy.StateRemoved {
+			ep.State = policy.StateRemoved
+			delete(g.endpoints, id)
+		}
+	}
+	g.list = slices.SortedFunc(maps.Values(g.endpoints), func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Submit implements emulator.Decider.
+func (g *gateway) Submit(now time.Duration, in policy.Request) {
+	if in.Class < 0 || in.Class >= len(g.cfg.Classes) || in.TimeLeft <= 0 {
+		g.actions.Reject(in.ID, 0)
+		return
+	}
+	r := &request{Request: in, class: &g.cfg.Classes[in.Class], deadline: now + in.TimeLeft}
+	g.requests[in.ID] = r
+	tooMany := g.cfg.MaxOpenRequests > 0 && len(g.requests) > g.cfg.MaxOpenRequests
+	if tooMany || !g.admit(now, r) {
+		g.finish(r)
+		return
+	}
+	g.dispatch(now, r)
+}
+
+// dispatch forwards a request, or ends it if no endpoint may take it.
+func (g *gateway) dispatch(now time.Duration, r *request) {
+	candidates := g.candidates(now, r)
+	if now >= r.deadline || len(candidates) == 0 {
+		g.finish(r)
+		return
+	}
+	ep := g.choose(r, candidates)
+	ep.inFlight++
+	r.inFlight, r.sentAt = ep, now
+	r.attempts++
+	g.actions.Forward(r.ID, ep.ID, r.deadline)
+}
+
+// candidates returns the endpoints that the rules allow. One in slow start is among them with the probability of the
+// share of its capacity that it has.
+func (g *gateway) candidates(now time.Duration, r *request) []*endpoint {
+	var allowed []*endpoint
+	for _, ep := range g.list {
+		if ep.State != policy.StateReady || !r.mayRunOn(now, ep) {
+			continue
+		}
+		if warmth := g.warmth(now, ep); warmth >= 1 || g.random.Float64() < warmth {
+			allowed = append(allowed, ep)
+		}
+	}
+	return allowed
+}
+
+// warmth is the least share of its capacity that an endpoint has.
+func (g *gateway) warmth(now time.Duration, ep *endpoint) float64 {
+	age := now - ep.StartedAt
+	if ep.StartedAt <= 0 || g.cfg.WarmUpDuration <= 0 || age >= g.cfg.WarmUpDuration {
+		return 1
+	}
+	initial := g.cfg.WarmUpInitialCapacity
+	return initial + (1-initial)*max(0, age.Seconds())/g.cfg.WarmUpDuration.Seconds()
+}
+
+// mayRunOn keeps the rule on repeats.
+func (r *request) mayRunOn(now time.Duration, ep *endpoint) bool {
+	if r.mayHaveRunOn == nil || r.class.Idempotency == policy.Idempotent {
+		return true
+	}
+	if r.class.Idempotency == policy.NonIdempotent || now >= r.mayHaveRunAt+r.class.KeyTTL {
+		return false
+	}
+	switch r.class.KeyScope {
+	case policy.KeyScopeZone:
+		return ep.Zone == r.mayHaveRunOn.Zone
+	case policy.KeyScopeCell:
+		return ep.Cell == r.mayHaveRunOn.Cell
+	default:
+		return true
+	}
+}
+
+// AttemptFinished implements emulator.Decider.
+func (g *gateway) AttemptFinished(now time.Duration, result policy.AttemptResult) {
+	r := g.requests[result.Request]
+	if r == nil || r.inFlight == nil || r.attempts-1 != result.Attempt {
+		return
+	}
+	r.inFlight.inFlight--
+	switch result.Status {
+	case policy.StatusOK, policy.StatusRejected, policy.StatusConnectFailed, policy.StatusNotSent:
+	default:
+		if r.mayHaveRunOn == nil {
+			r.mayHaveRunOn, r.mayHaveRunAt = r.inFlight, r.sentAt
+		}
+	}
+	r.inFlight = nil
+	limit := cmp.Or(g.cfg.MaxAttempts, maxAttempts)
+	switch {
+	case result.RequestDone || r.disconnected:
+		delete(g.requests, r.ID)
+	case r.attempts >= min(limit, maxAttempts):
+		g.finish(r)
+	default:
+		g.dispatch(now, r)
+	}
+}
+
+// finish gives the final answer: a rejection while the client may safely retry, else a failure.
+func (g *gateway) finish(r *request) {
+	delete(g.requests, r.ID)
+	if r.mayHaveRunOn == nil || r.class.Idempotency == policy.Idempotent {
+		g.actions.Reject(r.ID, 0)
+		return
+	}
+	g.actions.Fail(r.ID)
+}
+
+// ClientDisconnected implements emulator.Decider. The attempt in flight, which every open request has, is a load on its
+// endpoint until its result comes.
+func (g *gateway) ClientDisconnected(_ time.Duration, id policy.RequestID) {
+	r := g.requests[id]
+	if r == nil || r.disconnected {
+		return
+	}
+	r.disconnected = true
+	if g.cfg.CanCancel {
+		g.actions.CancelAttempt(id, r.attempts-1)
+	}
+}
+
+// BeginShutdown implements emulator.Decider. The world bounds the attempts in flight; later retries end by answerBy.
+func (g *gateway) BeginShutdown(_, answerBy time.Duration) {
+	for _, r := range g.requests {
+		r.deadline = min(r.deadline, answerBy)
+	}
+}
+
+// TimerFired implements emulator.Decider.
+func (g *gateway) TimerFired(_ time.Duration, timer policy.Timer) {
+	if timer.Kind == policy.TimerWatch {
+		g.actions.WatchEndpoints(true)
+	}
+}
+
+// lessLoadedOfTwo is the power of two choices: of two random endpoints the one with less in flight for its weight.
+func (g *gateway) lessLoadedOfTwo(_ *request, candidates []*endpoint) *endpoint {
+	first := candidates[g.random.IntN(len(candidates))]
+	second := candidates[g.random.IntN(len(candidates))]
+	if second.loadPerWeight() < first.loadPerWeight() {
+		return second
+	}
+	return first
+}
+
+// loadPerWeight is what is in flight at an endpoint for its relative capacity, which counts as 1 where it is not known.
+func (ep *endpoint) loadPerWeight() float64 {
+	if !(ep.Weight > 0) {
+		return float64(ep.inFlight)
+	}
+	return float64(ep.inFlight) / ep.Weight
+}
--- /dev/null
+++ b/internal/baseline/gateway_test.go
@@ -0,0 +1,261 @@
+package baseline
+
+import (
+	"testing"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/policy"
+)
+
+func TestUnknownNameIsNotFound(t *testing.T) {
+	if newDecider, ok := ByName("springfield"); ok || newDecider != nil {
+		t.Error("a baseline is found that there is not")
+	}
+	if len(Names()) != 4 {
+		t.Errorf("names %q", Names())
+	}
+}
+
+func TestRetryDependsOnIdempotency(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		for _, test := range []struct {
+			class     int
+			status    policy.Status
+			forwarded int
+			failed    int
+		}{
+			{idempotentClass, policy.StatusReset, 2, 0},
+			{keyedClass, policy.StatusReset, 2, 0},
+			{nonIdempotentClass, policy.StatusReset, 1, 1},
+			{nonIdempotentClass, policy.StatusTimedOut, 1, 1},
+			{nonIdempotentClass, policy.StatusServerError, 1, 1},
+			{nonIdempotentClass, policy.StatusCancelled, 1, 1},
+			{nonIdempotentClass, policy.StatusConnectFailed, 2, 0},
+			{nonIdempotentClass, policy.StatusRejected, 2, 0},
+			{nonIdempotentClass, policy.StatusNotSent, 2, 0},
+		} {
+			gateway := start(newDecider, testConfig(), 4)
+			gateway.submit(1, test.class, unlimitedPlan, 1)
+			gateway.finish(1, test.status)
+			gateway.expect(t, "after the first attempt", test.forwarded, 0, test.failed)
+		}
+	})
+}
+
+// A request that is deduplicated by its key goes to endpoints only that know the key, and while they do.
+func TestDeduplicatedRequestStaysWithinItsKey(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		for scope, group := range map[policy.KeyScope]func(id policy.EndpointID) policy.EndpointID{
+			policy.KeyScopeZone: func(id policy.EndpointID) policy.EndpointID { return id % 2 },
+			policy.KeyScopeCell: func(id policy.EndpointID) policy.EndpointID { return id % 3 },
+		} {
+			cfg := testConfig()
+			cfg.Classes[keyedClass].KeyScope = scope
+			gateway := start(newDecider, cfg, 12)
+			for id := policy.RequestID(1); id <= 50; id++ {
+				gateway.submit(id, keyedClass, unlimitedPlan, 1)
+				first := gateway.lastEndpoint()
+				gateway.finish(id, policy.StatusReset)
+				if second := gateway.lastEndpoint(); group(first) != group(second) {
+					t.Errorf("scope %d: repeated at endpoint %d after %d", scope, second, first)
+				}
+				gateway.finish(id, policy.StatusOK)
+			}
+			gateway.expect(t, "with keys", 100, 0, 0)
+		}
+
+		gateway := start(newDecider, testConfig(), 4)
+		gateway.submit(1, keyedClass, unlimitedPlan, 1)
+		gateway.now += 600 * time.Millisecond
+		gateway.finish(1, policy.StatusReset)
+		gateway.now += 400 * time.Millisecond // a second after the first attempt
+		gateway.finish(1, policy.StatusReset)
+		gateway.expect(t, "once the key is forgotten", 2, 0, 1)
+	})
+}
+
+func TestRejectionOnlyIfNothingMayHaveRun(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		for class, wantRejected := range map[int]int{idempotentClass: 1, keyedClass: 0, nonIdempotentClass: 0} {
+			gateway := start(newDecider, testConfig(), 4)
+			gateway.submit(1, class, unlimitedPlan, 1)
+			gateway.now += 2 * time.Second
+			gateway.finish(1, policy.StatusTimedOut)
+			gateway.expect(t, "after a time-out", 1, wantRejected, 1-wantRejected)
+		}
+		gateway := start(newDecider, testConfig(), 4)
+		gateway.submit(1, nonIdempotentClass, unlimitedPlan, 1)
+		for range 3 {
+			gateway.finish(1, policy.StatusConnectFailed)
+		}
+		gateway.expect(t, "after three attempts that have not run", 3, 1, 0)
+	})
+}
+
+func TestOnlyReadyEndpointsGetRequests(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		gateway := start(newDecider, testConfig(), 4)
+		draining, removed := readyEndpoint(1), readyEndpoint(2)
+		draining.State, removed.State = policy.StateDraining, policy.StateRemoved
+		id := policy.RequestID(0)
+		expectAll := func(situation string, allowed ...policy.EndpointID) {
+			t.Helper()
+			reached := map[policy.EndpointID]bool{}
+			for range 60 {
+				id++
+				gateway.submit(id, idempotentClass, unlimitedPlan, 1) // all stay in flight
+				reached[gateway.lastEndpoint()] = true
+			}
+			if len(reached) != len(allowed) {
+				t.Errorf("%s: endpoints %v, want %v", situation, reached, allowed)
+			}
+			for _, endpoint := range allowed {
+				if !reached[endpoint] {
+					t.Errorf("%s: endpoints %v, want %v", situation, reached, allowed)
+				}
+			}
+		}
+		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateDelta, []policy.Endpoint{draining, removed})
+		expectAll("after a change", 3, 4)
+		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateFailed, nil)
+		expectAll("after a failed call", 3, 4)
+		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateFull, []policy.Endpoint{readyEndpoint(2)})
+		expectAll("after a complete list", 2)
+		forwarded := len(gateway.forwarded)
+		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateFull, nil)
+		gateway.submit(id+1, nonIdempotentClass, unlimitedPlan, 1)
+		gateway.expect(t, "without endpoints", forwarded, 1, 0)
+	})
+}
+
+// An endpoint that warms up gets as much as it has of its capacity.
+func TestWarmingEndpointGetsItsShare(t *testing.T) {
+	gateway := start(AdmitAll, testConfig(), 1)
+	warming := readyEndpoint(2)
+	warming.StartedAt = gateway.now - 2500*time.Millisecond // has 0.2 + 0.8/4 of its capacity
+	gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateDelta, []policy.Endpoint{warming})
+	const requests = 4000
+	reached := 0
+	for id := policy.RequestID(1); id <= requests; id++ {
+		gateway.submit(id, idempotentClass, unlimitedPlan, 1)
+		if gateway.lastEndpoint() == warming.ID {
+			reached++
+		}
+	}
+	if share := float64(reached) / requests; share < 0.18 || share > 0.22 {
+		t.Errorf("gets a share of %v, want 0.4 of one half", share)
+	}
+}
+
+func TestWarmEndpointsAreAlwaysCandidates(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		gateway := start(newDecider, testConfig(), 1)
+		gateway.submit(1, idempotentClass, unlimitedPlan, 1)
+		restarted := readyEndpoint(1)
+		restarted.StartedAt = gateway.now - testConfig().WarmUpDuration
+		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateDelta, []policy.Endpoint{restarted})
+		for id := policy.RequestID(2); id <= 50; id++ {
+			gateway.submit(id, idempotentClass, unlimitedPlan, 1)
+		}
+		gateway.expect(t, "at an endpoint that is warm", 50, 0, 0)
+	})
+}
+
+func TestAttemptsAndDeadlinesAreBounded(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		for limit, want := range map[int]int{0: maxAttempts, 1: 1, 2: 2, 9: maxAttempts} {
+			cfg := testConfig()
+			cfg.MaxAttempts = limit
+			gateway := start(newDecider, cfg, 4)
+			gateway.submit(1, idempotentClass, unlimitedPlan, 1)
+			for range 10 {
+				gateway.finish(1, policy.StatusReset)
+			}
+			gateway.expect(t, "with a limit on attempts", want, 1, 0)
+			if until := gateway.forwarded[0].until; until != gateway.now+2*time.Second {
+				t.Errorf("given up at %v", until)
+			}
+		}
+		gateway := start(newDecider, testConfig(), 4)
+		gateway.submit(1, idempotentClass, unlimitedPlan, 1)
+		gateway.decider.BeginShutdown(gateway.now, gateway.now+time.Second)
+		gateway.now += time.Second
+		gateway.finish(1, policy.StatusConnectFailed)
+		gateway.expect(t, "at the end of a shutdown", 1, 1, 0)
+	})
+}
+
+func TestInvalidRequestIsRejected(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		gateway := start(newDecider, testConfig(), 4)
+		gateway.submit(1, 9, unlimitedPlan, 1)
+		gateway.submit(2, -1, unlimitedPlan, 1)
+		gateway.decider.Submit(gateway.now, policy.Request{ID: 3, Plan: unlimitedPlan, Units: 1})
+		gateway.expect(t, "invalid", 0, 3, 0)
+		gateway.submit(4, idempotentClass, unknownPlan, 1)
+		gateway.submit(5, idempotentClass, -1, 1)
+		gateway.expect(t, "of no known plan", 2, 3, 0)
+	})
+}
+
+func TestOpenRequestsAreBounded(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		cfg := testConfig()
+		cfg.MaxOpenRequests = 2
+		gateway := start(newDecider, cfg, 4)
+		for id := policy.RequestID(1); id <= 3; id++ {
+			gateway.submit(id, idempotentClass, unlimitedPlan, 1)
+		}
+		gateway.expect(t, "with three requests", 2, 1, 0)
+		gateway.finish(1, policy.StatusOK)
+		gateway.submit(4, idempotentClass, unlimitedPlan, 1)
+		gateway.expect(t, "once one is answered", 3, 1, 0)
+	})
+}
+
+// What a client that has disconnected has in flight is a load until it ends, and nothing follows it.
+func TestDisconnectedClientGetsNothing(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		for _, canCancel := range []bool{true, false} {
+			cfg := testConfig()
+			cfg.CanCancel = canCancel
+			gateway := start(newDecider, cfg, 1)
+			gateway.submit(1, idempotentClass, unlimitedPlan, 1)
+			gateway.decider.ClientDisconnected(gateway.now, 1)
+			gateway.decider.ClientDisconnected(gateway.now, 1)
+			gateway.decider.ClientDisconnected(gateway.now, 77)
+			if cancelled := len(gateway.cancelled) == 1; cancelled != canCancel {
+				t.Errorf("cancellation %v: cancelled %v", canCancel, gateway.cancelled)
+			}
+			endpoint := gateway.internals().endpoints[1]
+			if endpoint.inFlight != 1 {
+				t.Errorf("%d in flight before the attempt has ended", endpoint.inFlight)
+			}
+			gateway.finish(1, policy.StatusReset)
+			gateway.finish(1, policy.StatusReset)
+			gateway.expect(t, "disconnected", 1, 0, 0)
+			if endpoint.inFlight != 0 || len(gateway.internals().requests) != 0 {
+				t.Errorf("%d in flight, %d requests", endpoint.inFlight, len(gateway.internals().requests))
+			}
+		}
+	})
+}
+
+func (r *recorder) internals() *gateway { return r.decider.(*gateway) }
+
+func TestPolledEndpointsAreWatched(t *testing.T) {
+	forEach(t, func(t *testing.T, newDecider emulator.NewDecider) {
+		cfg := testConfig()
+		cfg.PolledEndpoints = true
+		gateway := start(newDecider, cfg, 1)
+		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateFailed, nil)
+		if gateway.watches != 1 || len(gateway.timers) != 1 {
+			t.Fatalf("%d watches, timers %v", gateway.watches, gateway.timers)
+		}
+		gateway.decider.TimerFired(gateway.now, gateway.timers[0])
+		if gateway.watches != 2 {
+			t.Errorf("%d watches after the timer", gateway.watches)
+		}
+	})
+}
--- /dev/null
+++ b/internal/baseline/harness_test.go
@@ -0,0 +1,163 @@
+package baseline
+
+import (
+	"testing"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/policy"
+)
+
+// Indexes of the classes and plans of testConfig.
+const (
+	idempotentClass    = 0
+	keyedClass         = 1
+	nonIdempotentClass = 2
+
+	quotaPlan     = 0
+	softPlan      = 1 // use over quota earns more than it costs
+	unlimitedPlan = 2
+	unknownPlan   = 9
+)
+
+func testConfig() policy.Config {
+	return policy.Config{
+		GatewayCount:          2,
+		Seed:                  7,
+		CanCancel:             true,
+		MaxAttempts:           3,
+		MaxRequestUnits:       4,
+		WarmUpInitialCapacity: 0.2,
+		WarmUpDuration:        10 * time.Second,
+		Classes: []policy.Class{
+			{Idempotency: policy.Idempotent},
+			{Idempotency: policy.IdempotentByKey, KeyScope: policy.KeyScopeZone, KeyTTL: time.Second},
+			{Idempotency: policy.NonIdempotent, KeyTTL: time.Second},
+		},
+		Plans: []policy.Plan{
+			{QuotaRate: 10, Burst: 20, OverQuotaCost: 0.5},
+			{QuotaRate: 10, Burst: 20, OverQuotaValue: 0.5},
+			{},
+		},
+	}
+}
+
+// fakeTruth is a true state that a test sets. It records the ages that it is asked for.
+type fakeTruth struct {
+	backlogs  map[policy.EndpointID]time.Duration
+	quotaLeft float64
+	ages      map[time.Duration]bool
+}
+
+func newFakeTruth() *fakeTruth {
+	return &fakeTruth{backlogs: map[policy.EndpointID]time.Duration{}, quotaLeft: 1e6, ages: map[time.Duration]bool{}}
+}
+
+func (f *fakeTruth) Backlog(endpoint policy.EndpointID, age time.Duration) time.Duration {
+	f.ages[age] = true
+	return f.backlogs[endpoint]
+}
+
+func (f *fakeTruth) QuotaLeft(_ policy.CustomerID, _ int, age time.Duration) float64 {
+	f.ages[age] = true
+	return f.quotaLeft
+}
+
+// recorder is a gateway around a decider. It records the decisions.
+type recorder struct {
+	decider   emulator.Decider
+	truth     *fakeTruth
+	now       time.Duration
+	forwarded []forwardedAttempt
+	rejected  []policy.RequestID
+	failed    []policy.RequestID
+	cancelled []policy.RequestID
+	timers    []policy.Timer
+	watches   int
+}
+
+type forwardedAttempt struct {
+	request  policy.RequestID
+	endpoint policy.EndpointID
+	until    time.Duration
+}
+
+// start returns a gateway with warm endpoints 1 to count, of zones 0 and 1 in turn.
+func start(newDecider emulator.NewDecider, cfg policy.Config, count int) *recorder {
+	r := &recorder{truth: newFakeTruth(), now: time.Hour}
+	r.decider = newDecider(cfg, r, r.truth)
+	r.decider.Start(r.now)
+	var list []policy.Endpoint
+	for id := 1; id <= count; id++ {
+		list = append(list, readyEndpoint(id))
+	}
+	r.decider.UpdateEndpoints(r.now, policy.UpdateCached, list)
+	return r
+}
+
+func readyEndpoint(id int) policy.Endpoint {
+	return policy.Endpoint{ID: policy.EndpointID(id), Weight: 1, State: policy.StateReady, Zone: id % 2, Cell: id % 3}
+}
+
+// forEach runs a test for each baseline.
+func forEach(t *testing.T, test func(t *testing.T, newDecider emulator.NewDecider)) {
+	t.Helper()
+	for _, name := range Names() {
+		newDecider, ok := ByName(name)
+		if !ok {
+			t.Fatalf("%q is not found", name)
+		}
+		t.Run(name, func(t *testing.T) { test(t, newDecider) })
+	}
+}
+
+// submit submits a request that has two seconds left, of a customer that two gateways carry.
+func (r *recorder) submit(id policy.RequestID, class, plan int, units float64) {
+	r.decider.Submit(r.now, policy.Request{ID: id, Class: class, Plan: plan, Customer: policy.CustomerID(plan + 1),
+		TimeLeft: 2 * time.Second, Units: units, SetSize: 2})
+}
+
+// finish ends the latest attempt of a request.
+func (r *recorder) finish(id policy.RequestID, status policy.Status) {
+	result := policy.AttemptResult{Request: id, Attempt: -1, Status: status, RequestDone: status == policy.StatusOK}
+	for _, attempt := range r.forwarded {
+		if attempt.request == id {
+			result.Attempt++
+			result.Endpoint = attempt.endpoint
+		}
+	}
+	r.decider.AttemptFinished(r.now, result)
+}
+
+// expect fails the test unless so many attempts, rejections and failures were recorded.
+func (r *recorder) expect(t *testing.T, situation string, forwarded, rejected, failed int) {
+	t.Helper()
+	if len(r.forwarded) != forwarded || len(r.rejected) != rejected || len(r.failed) != failed {
+		t.Errorf("%s: %d forwarded, %d rejected, %d failed; want %d, %d and %d", situation, len(r.forwarded),
+			len(r.rejected), len(r.failed), forwarded, rejected, failed)
+	}
+}
+
+func (r *recorder) lastEndpoint() policy.EndpointID { return r.forwarded[len(r.forwarded)-1].endpoint }
+
+// Forward implements policy.Actions.
+func (r *recorder) Forward(id policy.RequestID, endpoint policy.EndpointID, until time.Duration) {
+	r.forwarded = append(r.forwarded, forwardedAttempt{id, endpoint, until})
+}
+
+// Reject implements policy.Actions.
+func (r *recorder) Reject(id policy.RequestID, _ time.Duration) { r.rejected = append(r.rejected, id) }
+
+// Fail implements policy.Actions.
+func (r *recorder) Fail(id policy.RequestID) { r.failed = append(r.failed, id) }
+
+// CancelAttempt implements policy.Actions.
+func (r *recorder) CancelAttempt(id policy.RequestID, _ int) { r.cancelled = append(r.cancelled, id) }
+
+// StartTimer implements policy.Actions.
+func (r *recorder) StartTimer(_ time.Duration, timer policy.Timer) {
+	r.timers = append(r.timers, timer)
+}
+
+// WatchEndpoints implements policy.Actions.
+func (r *recorder) WatchEndpoints(bool) { r.watches++ }
--- /dev/null
+++ b/internal/emulator/model/usage_test.go
@@ -0,0 +1,250 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/policy"
+)
+
+func TestMeterTellsTheLastKnownPeriod(t *testing.T) {
+	meter := NewMeter(emulator.Meter{
+		Period:   emulator.Duration(time.Second),
+		DelayMin: emulator.Duration(300 * time.Millisecond),
+		DelayMax: emulator.Duration(300 * time.Millisecond),
+	}, rand.New(rand.NewPCG(1, 2)))
+	begin := 1000 * time.Second
+	meter.Record(begin, 1, 2)
+	meter.Record(begin+999*time.Millisecond, 1, 1.004)
+	meter.Record(begin+time.Second, 1, 9)
+	for _, test := range []struct {
+		after    time.Duration
+		customer policy.CustomerID
+		rate     float64
+		share    float64
+		ok       bool
+	}{
+		{after: 1299 * time.Millisecond, customer: 1, rate: 4},
+		{after: 1300 * time.Millisecond, customer: 1, rate: 4, share: 0.75, ok: true},
+		{after: 1300 * time.Millisecond, customer: 2, rate: 4, share: 0, ok: true},
+		{after: 1300 * time.Millisecond, customer: 1, rate: 0},
+		{after: 2300 * time.Millisecond, customer: 1, rate: 4, share: 2.25, ok: true},
+		{after: 3300 * time.Millisecond, customer: 1, rate: 4, share: 0, ok: true},
+	} {
+		share, ok := meter.Reading(begin+test.after, test.customer, test.rate)
+		if share != test.share || ok != test.ok {
+			t.Errorf("%+v: read %v, %v", test, share, ok)
+		}
+	}
+	meter.SetSilent(true)
+	if _, ok := meter.Reading(begin+4*time.Second, 1, 4); ok {
+		t.Error("a silent meter has told something")
+	}
+	if _, ok := NewMeter(emulator.Meter{}, nil).Reading(begin, 1, 4); ok {
+		t.Error("a meter without a period has told something")
+	}
+}
+
+func TestMeterDelaysAreWithinTheirBounds(t *testing.T) {
+	meter := NewMeter(emulator.Meter{
+		Period:   emulator.Duration(time.Second),
+		DelayMin: emulator.Duration(100 * time.Millisecond),
+		DelayMax: emulator.Duration(500 * time.Millisecond),
+	}, rand.New(rand.NewPCG(1, 2)))
+	begin := 1000 * time.Second
+	changes := map[time.Duration]bool{}
+	for period := range 200 {
+		now := begin + time.Duration(period)*time.Second
+		meter.Record(now, 1, float64(period+1))
+		for after := time.Duration(0); after < time.Second; after += 10 * time.Millisecond {
+			share, _ := meter.Reading(now+after, 1, 1)
+			if share == float64(period) && period > 0 {
+				changes[after] = true
+				break
+			}
+		}
+	}
+	for after := range changes {
+		if after < 100*time.Millisecond || after > 500*time.Millisecond {
+			t.Errorf("a period was known after %v", after)
+		}
+	}
+	if len(changes) < 30 { // of 41 steps
+		t.Errorf("delays take %d values, want about 40", len(changes))
+	}
+}
+
+func TestLedgerKeepsQuotas(t *testing.T) {
+	ledger := NewLedger([]emulator.Plan{{Rate: 2, Burst: 5}, {MaxConcurrent: 1}})
+	now := 1000 * time.Second
+	taken := []bool{ledger.Take(now, 1, 0, 4), ledger.Take(now, 1, 0, 2), ledger.Take(now, 1, 0, 1)}
+	if want := []bool{true, false, true}; !slices.Equal(taken, want) {
+		t.Errorf("within the quota: %v, want %v", taken, want)
+	}
+	ledger.Settle(1, 0, 3)
+	if left := ledger.Left(now+time.Second, 1, 0); left != -1 {
+		t.Errorf("%v left after settling, want -1", left)
+	}
+	ledger.Settle(1, 0, -100)
+	if left := ledger.Left(now+time.Second, 1, 0); left != 5 {
+		t.Errorf("%v left after giving back, want the burst", left)
+	}
+	if left := ledger.Left(now, 2, 0); left != 5 {
+		t.Errorf("%v left of another customer, want the burst", left)
+	}
+
+	ledger.BeginAttempt(3, 1)
+	if ledger.Take(now, 3, 1, 1) || !math.IsInf(ledger.Left(now, 3, 1), 1) {
+		t.Error("more attempts in flight than the plan allows, or a quota without a rate")
+	}
+	ledger.EndAttempt(3, 1)
+	if !ledger.Take(now, 3, 1, 1) {
+		t.Error("beyond the quota without attempts in flight")
+	}
+}
+
+func TestLedgerTellsBrokenCeilings(t *testing.T) {
+	ledger := NewLedger([]emulator.Plan{{Rate: 1, Burst: 1, CeilingRate: 1, CeilingBurst: 4, CeilingSlack: 1}})
+	now := 1000 * time.Second
+	for _, customer := range []policy.CustomerID{8, 5} {
+		for range 5 {
+			ledger.Take(now, customer, 0, 1) // down to the slack
+		}
+	}
+	if broken := ledger.CeilingBroken(); len(broken) != 0 {
+		t.Errorf("%v broken within the slack", broken)
+	}
+	for _, customer := range []policy.CustomerID{8, 5, 8} {
+		ledger.Take(now, customer, 0, 0.5)
+	}
+	if broken := ledger.CeilingBroken(); !slices.Equal(broken, []policy.CustomerID{8, 5}) {
+		t.Errorf("%v broken, want 8 and 5", broken)
+	}
+}
+
+func TestNetworkDelayHasItsMean(t *testing.T) {
+	spec := emulator.Network{Delay: emulator.Duration(2 * time.Millisecond), Jitter: 0.5}
+	network := NewNetwork(spec, rand.New(rand.NewPCG(1, 2)))
+	const count = 100_000
+	var sum time.Duration
+	for range count {
+		delay := network.Delay()
+		if delay < time.Millisecond {
+			t.Fatalf("a delay of %v under the fixed part", delay)
+		}
+		sum += delay
+	}
+	if mean := sum / count; mean < 1980*time.Microsecond || mean > 2020*time.Microsecond {
+		t.Errorf("mean delay %v, want 2 ms", mean)
+	}
+	fixed := NewNetwork(emulator.Network{Delay: emulator.Duration(time.Millisecond)}, nil)
+	if delay := fixed.Delay(); delay != time.Millisecond {
+		t.Errorf("delay %v without jitter, want 1 ms", delay)
+	}
+}
+
+// counterTest records the results of calls in the order in which they come.
+type counterTest struct {
+	*Counter
+	scheduler *emulator.VirtualScheduler
+	results   []CounterResult
+}
+
+func newCounterTest(spec CounterSpec) *counterTest {
+	scheduler := emulator.NewVirtualScheduler(1000 * time.Second)
+	counter := NewCounter(spec, scheduler, rand.New(rand.NewPCG(1, 2)))
+	return &counterTest{Counter: counter, scheduler: scheduler}
+}
+
+func (c *counterTest) call(name string, amount float64, life time.Duration) {
+	c.Add(name, amount, life, func(result CounterResult) { c.results = append(c.results, result) })
+}
+
+// expect lets some time pass and compares the results that have come.
+func (c *counterTest) expect(t *testing.T, after time.Duration, want ...CounterResult) {
+	t.Helper()
+	c.scheduler.RunUntil(c.scheduler.Now() + after)
+	if !slices.Equal(c.results, want) {
+		t.Errorf("results %+v, want %+v", c.results, want)
+	}
+	c.results = nil
+}
+
+func counterTestTotal(total float64) CounterResult { return CounterResult{CounterAdded, total} }
+
+func TestCounterAddsAndForgets(t *testing.T) {
+	c := newCounterTest(CounterSpec{Latency: time.Millisecond})
+	c.call("a", 2.5, 4*time.Second)
+	c.call("a", -1, time.Hour)
+	c.call("b", 1.23456789, time.Hour)
+	c.expect(t, 0)
+	c.expect(t, time.Millisecond, counterTestTotal(2.5), counterTestTotal(1.5), counterTestTotal(1.234568))
+	c.call("a", 0, time.Hour)
+	c.expect(t, 3998*time.Millisecond, counterTestTotal(1.5))
+	c.expect(t, time.Millisecond) // a's life is over
+	c.call("a", 7, time.Second)
+	c.call("b", 0, time.Second)
+	c.expect(t, time.Millisecond, counterTestTotal(7), counterTestTotal(1.234568))
+	c.expect(t, time.Minute) // b's too: it is cut to a minute
+	c.call("b", 0, time.Second)
+	c.expect(t, time.Millisecond, counterTestTotal(0))
+
+	invalid := CounterResult{Status: CounterInvalid}
+	c.call("", 1, time.Second)
+	c.call(strings.Repeat("n", 65), 1, time.Second)
+	c.call("n", math.NaN(), time.Second)
+	c.call("n", 2e9, time.Second)
+	c.call("n", 1, 0)
+	c.expect(t, time.Millisecond, invalid, invalid, invalid, invalid, invalid)
+}
+
+func TestCounterServesCallsInTurn(t *testing.T) {
+	c := newCounterTest(CounterSpec{CallsPerSecond: 10, MaxWait: 150 * time.Millisecond})
+	c.SetSlowdown(2)
+	for range 3 { // at 200 ms each, the third one would begin after 400 ms
+		c.call("a", 1, time.Second)
+	}
+	c.SetSlowdown(1)
+	c.expect(t, 199*time.Millisecond, CounterResult{Status: CounterRejected}, CounterResult{Status: CounterRejected})
+	c.expect(t, time.Millisecond, counterTestTotal(1))
+	c.call("a", 1, time.Second)
+	c.call("a", 1, time.Second)
+	c.expect(t, 100*time.Millisecond, counterTestTotal(2))
+	c.expect(t, 100*time.Millisecond, counterTestTotal(3))
+}
+
+func TestCounterStopsAndIsFlushed(t *testing.T) {
+	c := newCounterTest(CounterSpec{CallsPerSecond: 1000, Parts: 3, Latency: time.Millisecond})
+	c.call("a", 1, time.Minute)
+	c.expect(t, time.Second, counterTestTotal(1))
+	c.call("a", 1, time.Minute)
+	c.SetState(CounterSilent)
+	c.call("a", 1, time.Minute)
+	c.SetState(CounterUp)
+	c.expect(t, time.Second)
+	c.call("a", 0, time.Minute)
+	c.expect(t, 3500*time.Microsecond) // its turn is over, its answer on the way
+	c.SetState(CounterSilent)
+	c.SetState(CounterUp)
+	c.expect(t, time.Second)
+	c.SetState(CounterSilent)
+	c.call("a", 1, time.Minute)
+	c.expect(t, time.Second)
+	c.SetState(CounterRefusing)
+	c.call("a", 1, time.Minute)
+	c.expect(t, time.Second, CounterResult{Status: CounterRefused})
+	c.SetState(CounterUp)
+	c.call("a", 0, time.Minute)
+	c.expect(t, time.Second, counterTestTotal(1))
+	c.Flush(0)
+	c.call("a", 0, time.Minute)
+	c.expect(t, time.Second, counterTestTotal(1))
+	c.Flush(1)
+	c.call("a", 0, time.Minute)
+	c.expect(t, time.Second, counterTestTotal(0))
+}
--- /dev/null
+++ b/internal/emulator/virtual/decider.go
@@ -0,0 +1,11 @@
+package virtual
+
+import (
+	"springfield/internal/emulator"
+	"springfield/policy"
+)
+
+// PolicyDecider returns the gateway's own policy engine. It is an emulator.NewDecider.
+func PolicyDecider(cfg policy.Config, actions policy.Actions, _ emulator.Truth) emulator.Decider {
+	return policy.New(cfg, actions)
+}
--- /dev/null
+++ b/internal/emulator/virtual/faults.go
@@ -0,0 +1,132 @@
+package virtual
+
+import (
+	"springfield/internal/emulator/model"
+	"springfield/policy"
+)
+
+// faultTarget lets the fault schedule act on the world.
+type faultTarget struct{ w *world }
+
+var _ model.FaultTarget = faultTarget{}
+
+// Gateways implements model.FaultTarget.
+func (t faultTarget) Gateways() int { return len(t.w.gateways) }
+
+// GatewayZone implements model.FaultTarget.
+func (t faultTarget) GatewayZone(gateway int) int { return t.w.gateways[gateway].zone }
+
+// Endpoints implements model.FaultTarget.
+func (t faultTarget) Endpoints() []policy.Endpoint {
+	var ready []policy.Endpoint
+	_, list := t.w.discovery.List()
+	for _, entry := range list {
+		if entry.State == policy.StateReady {
+			ready = append(ready, entry)
+		}
+	}
+	return ready
+}
+
+// KillGateway implements model.FaultTarget.
+func (t faultTarget) KillGateway(gateway int) { t.w.gateways[gateway].kill() }
+
+// StartGateway implements model.FaultTarget.
+func (t faultTarget) StartGateway(gateway int) {
+	g := t.w.gateways[gateway]
+	if !g.running {
+		g.start(g.cachedList())
+	}
+}
+
+// RestartGateway implements model.FaultTarget.
+func (t faultTarget) RestartGateway(gateway int) { t.w.gateways[gateway].restart() }
+
+// DrainEndpoint implements model.FaultTarget.
+func (t faultTarget) DrainEndpoint(id policy.EndpointID) {
+	e := t.w.endpoint(id)
+	if !e.stopped() {
+		e.server.Drain()
+		t.w.publish(e, policy.StateDraining)
+	}
+}
+
+// StopEndpoint implements model.FaultTarget.
+func (t faultTarget) StopEndpoint(id policy.EndpointID) { t.w.stopEndpoint(t.w.endpoint(id)) }
+
+// StartEndpoint implements model.FaultTarget.
+func (t faultTarget) StartEndpoint(id policy.EndpointID) { t.w.startEndpoint(t.w.endpoint(id)) }
+
+// AddReplacement implements model.FaultTarget.
+func (t faultTarget) AddReplacement(id policy.EndpointID) {
+	replaced := t.w.endpoint(id)
+	t.w.addEndpoint(replaced.zone, replaced.cell, t.w.scheduler.Now())
+}
+
+// SlowEndpoint implements model.FaultTarget.
+func (t faultTarget) SlowEndpoint(id policy.EndpointID, factor float64) {
+	t.w.endpoint(id).server.SetSlowdown(factor)
+}
+
+// FailEndpoint implements model.FaultTarget.
+func (t faultTarget) FailEndpoint(id policy.EndpointID, share float64) {
+	t.w.endpoint(id).server.SetErrorShare(share)
+}
+
+// SilenceEndpoint implements model.FaultTarget.
+func (t faultTarget) SilenceEndpoint(id policy.EndpointID, silent bool) {
+	t.w.endpoint(id).server.SetSilent(silent)
+}
+
+// CutEndpoint implements model.FaultTarget.
+func (t faultTarget) CutEndpoint(id policy.EndpointID, cut bool) {
+	t.w.endpoint(id).cuts += cutChange(cut)
+}
+
+// CutZone implements model.FaultTarget.
+func (t faultTarget) CutZone(zone int, cut bool) {
+	if zone < len(t.w.zoneCuts) {
+		t.w.zoneCuts[zone] += cutChange(cut)
+	}
+}
+
+func cutChange(cut bool) int {
+	if cut {
+		return 1
+	}
+	return -1
+}
+
+// ResetAttempts implements model.FaultTarget.
+func (t faultTarget) ResetAttempts(share float64) { t.w.resetShare = share }
+
+// SpoilAnswers implements model.FaultTarget.
+func (t faultTarget) SpoilAnswers(share float64) { t.w.spoiltShare = share }
+
+// SilenceMeter implements model.FaultTarget.
+func (t faultTarget) SilenceMeter(silent bool) { t.w.meter.SetSilent(silent) }
+
+// SetDiscoveryDown implements model.FaultTarget.
+func (t faultTarget) SetDiscoveryDown(down bool) { t.w.discovery.SetDown(down) }
+
+// SilenceWatches implements model.FaultTarget. The gateways notice by the missing keep-alive lines.
+func (t faultTarget) SilenceWatches() {
+	t.w.discovery.Silence()
+	for _, g := range t.w.gateways {
+		if g.running {
+			g.reopenWatch(watchSilenceLimit)
+		}
+	}
+}
+
+// MoveDiscovery implements model.FaultTarget. The gateways are told of the new address and begin again there.
+func (t faultTarget) MoveDiscovery() {
+	for _, g := range t.w.gateways {
+		if g.running {
+			g.reopenWatch(0)
+		}
+	}
+}
+
+// SetLateness implements model.FaultTarget.
+func (t faultTarget) SetLateness(factor float64) { t.w.discovery.SetLateness(factor) }
--- /dev/null
+++ b/internal/emulator/virtual/run_test.go
@@ -0,0 +1,100 @@
+package virtual
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"reflect"
+	"testing"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/invariant"
+	"springfield/internal/emulator/model"
+)
+
+// typeCounter counts observations by type.
+type typeCounter map[string]int
+
+// Observe implements emulator.Observer.
+func (c typeCounter) Observe(_ time.Duration, observation emulator.Observation) {
+	c[reflect.TypeOf(observation).Name()]++
+}
+
+// hashObserver hashes all observations, in their order.
+type hashObserver struct{ hash.Hash64 }
+
+// Observe implements emulator.Observer.
+func (o hashObserver) Observe(at time.Duration, observation emulator.Observation) {
+	_, _ = fmt.Fprintf(o, "%d %T%+v\n", at, observation, observation) // a hash never fails
+}
+
+// runOnce plays a scenario, and returns the summary without what depends on the machine.
+func runOnce(t *testing.T, scenario emulator.Scenario, seed uint64, observer emulator.Observer) Summary {
+	t.Helper()
+	summary, err := Run(t.Context(), Options{Scenario: scenario, Seed: seed, Observer: observer})
+	if err != nil {
+		t.Fatal(err)
+	}
+	summary.WallTime = 0
+	return summary
+}
+
+func TestSeedDeterminesRun(t *testing.T) {
+	first, second, other := hashObserver{fnv.New64a()}, hashObserver{fnv.New64a()}, hashObserver{fnv.New64a()}
+	scenario := faultyScenario()
+	firstSummary := runOnce(t, scenario, 7, first)
+	secondSummary := runOnce(t, scenario, 7, second)
+	runOnce(t, scenario, 8, other)
+	if first.Sum64() != second.Sum64() || firstSummary != secondSummary {
+		t.Errorf("two runs of one seed differ: %+v %x, %+v %x", firstSummary, first.Sum64(), secondSummary, second.Sum64())
+	}
+	if other.Sum64() == first.Sum64() {
+		t.Error("two seeds gave the same run")
+	}
+}
+
+// Every kind of observation is made, and the policy keeps the rules.
+func TestRulesUnderFaults(t *testing.T) {
+	scenario := faultyScenario()
+	for seed := range uint64(3) {
+		checker, counter := invariant.NewChecker(&scenario), typeCounter{}
+		summary := runOnce(t, scenario, seed, emulator.Observers{checker, counter})
+		report := checker.Finish(StartTime + summary.VirtualTime)
+		if !report.Kept() {
+			t.Errorf("seed %d: %+v", seed, report)
+		}
+		if len(counter) < 12 { // all but EndpointOverloaded
+			t.Errorf("seed %d: only these observations were made: %v", seed, counter)
+		}
+	}
+}
+
+func TestEveryRequestIsAnswered(t *testing.T) {
+	counter := typeCounter{}
+	scenario := model.DefaultScenario()
+	scenario.Clients.Abandon = 0.05
+	summary := runOnce(t, scenario, 1, counter)
+	submitted := counter["RequestSubmitted"]
+	over := counter["RequestAnswered"] + counter["ClientDisconnected"]
+	if submitted == 0 || submitted != over || int64(submitted) != summary.Requests {
+		t.Errorf("%d requests, %d of them over: %+v %v", submitted, over, summary, counter)
+	}
+}
+
+func TestRunEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := Run(ctx, Options{Scenario: model.DefaultScenario()}); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want %v", err, context.Canceled)
+	}
+}
+
+func TestInvalidScenarioIsRefused(t *testing.T) {
+	var problem *model.ScenarioError
+	if _, err := Run(t.Context(), Options{}); !errors.As(err, &problem) {
+		t.Errorf("got %v, want a *model.ScenarioError", err)
+	}
+}
--- /dev/null
+++ b/internal/emulator/virtual/truth.go
@@ -0,0 +1,129 @@
+package virtual
+
+import (
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/policy"
+)
+
+const (
+	// backlogInterval is how often the backlog of each endpoint is recorded once an oracle has asked for an old one.
+	backlogInterval = 50 * time.Millisecond
+
+	// historyLength bounds the age that an oracle can ask for.
+	historyLength = 2 * time.Second
+
+	backlogSamples = int(historyLength/backlogInterval) + 1
+)
+
+// truth answers oracles. It records nothing until the first of them asks for what was.
+type truth struct {
+	world     *world
+	recording bool
+	backlogs  []backlogHistory // by endpoint id, from 1
+	quotas    map[policy.CustomerID]*quotaHistory
+}
+
+var _ emulator.Truth = (*truth)(nil)
+
+// backlogHistory is a ring of the latest samples of an endpoint's backlog.
+type backlogHistory struct {
+	samples [backlogSamples]time.Duration
+	count   int // of all samples ever
+}
+
+// quotaHistory is what a customer had left after each of its latest uses.
+type quotaHistory struct{ samples []quotaSample }
+
+type quotaSample struct {
+	at   time.Duration
+	left float64
+}
+
+func newTruth(w *world) *truth {
+	return &truth{world: w, quotas: map[policy.CustomerID]*quotaHistory{}}
+}
+
+func (t *truth) addEndpoint() { t.backlogs = append(t.backlogs, backlogHistory{}) }
+
+// Backlog implements emulator.Truth. Ages beyond the history are as old as it.
+func (t *truth) Backlog(id policy.EndpointID, age time.Duration) time.Duration {
+	e := t.world.endpoint(id)
+	if e == nil {
+		return 0
+	}
+	if age > 0 {
+		t.record()
+	}
+	history := &t.backlogs[id-1]
+	back := min(int(age/backlogInterval), backlogSamples-1, history.count-1)
+	if age <= 0 || back < 0 {
+		return e.server.Backlog()
+	}
+	return history.samples[(history.count-1-back)%backlogSamples]
+}
+
+// record begins to record, if that has not begun.
+func (t *truth) record() {
+	if t.recording {
+		return
+	}
+	t.recording = true
+	t.sampleBacklogs()
+}
+
+func (t *truth) sampleBacklogs() {
+	for i := range t.backlogs {
+		history := &t.backlogs[i]
+		history.samples[history.count%backlogSamples] = t.world.endpoints[i].server.Backlog()
+		history.count++
+	}
+	t.world.scheduler.After(backlogInterval, t.sampleBacklogs)
+}
+
+// QuotaLeft implements emulator.Truth.
+func (t *truth) QuotaLeft(customer policy.CustomerID, plan int, age time.Duration) float64 {
+	now := t.world.scheduler.Now()
+	if age <= 0 {
+		return t.world.ledger.Left(now, customer, plan)
+	}
+	t.record()
+	terms := &t.world.scenario.Plans[plan]
+	history := t.quotas[customer]
+	if history == nil {
+		return terms.Burst
+	}
+	asOf := now - age
+	for i := len(history.samples) - 1; i >= 0; i-- {
+		if sample := history.samples[i]; sample.at <= asOf {
+			return min(terms.Burst, sample.left+terms.Rate*(asOf-sample.at).Seconds())
+		}
+	}
+	return terms.Burst
+}
+
+// recordQuota records what a customer has left after a use.
+func (t *truth) recordQuota(customer policy.CustomerID, plan int) {
+	if !t.recording {
+		return
+	}
+	now := t.world.scheduler.Now()
+	history := t.quotas[customer]
+	if history == nil {
+		history = &quotaHistory{}
+		t.quotas[customer] = history
+	}
+	history.discardBefore(now - historyLength)
+	left := t.world.ledger.Left(now, customer, plan)
+	history.samples = append(history.samples, quotaSample{at: now, left: left})
+}
+
+// discardBefore drops the samples that no answer needs: all but the last one before the given time.
+func (h *quotaHistory) discardBefore(oldest time.Duration) {
+	keepFrom := 0
+	for keepFrom+1 < len(h.samples) && h.samples[keepFrom+1].at <= oldest {
+		keepFrom++
+	}
+	h.samples = append(h.samples[:0], h.samples[keepFrom:]...)
+}
--- /dev/null
+++ b/internal/emulator/virtual/world.go
@@ -0,0 +1,133 @@
+package virtual
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/model"
+	"springfield/policy"
+)
+
+// Streams of the random numbers of a run. Those of the workload are its own.
+const (
+	streamServers uint64 = iota + 1
+	streamNetwork
+	streamMeter
+	streamDiscovery
+	streamFaults
+	streamGateways
+	streamAttempts
+)
+
+// cellsPerZone is the number of cells that the endpoints of a zone are divided into.
+const cellsPerZone = 4
+
+// world is a deployment on virtual time.
+type world struct {
+	scenario   *emulator.Scenario
+	seed       uint64
+	newDecider emulator.NewDecider
+	observer   emulator.Observer
+	scheduler  *emulator.VirtualScheduler
+
+	workload  *model.Workload
+	network   *model.Network
+	meter     *model.Meter
+	ledger    *model.Ledger
+	discovery *model.Discovery
+	truth     *truth
+	endpoints []*endpoint // by id, from 1: endpoints[0] is that of id 1
+	gateways  []*gateway
+
+	serverRandom  *rand.Rand
+	gatewayRandom *rand.Rand
+	attemptRandom *rand.Rand
+
+	zoneCuts    []int // by zone: partitions that cut it off from the others now
+	resetShare  float64
+	spoiltShare float64
+
+	unsettled   int // requests that the client has sent or will send, and that are not answered yet
+	requests    int64
+	attempts    int64
+	connections int64
+}
+
+func newWorld(options *Options) *world {
+	scenario := &options.Scenario
+	stream := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, number)) }
+	w := &world{
+		scenario:      scenario,
+		seed:          options.Seed,
+		newDecider:    options.NewDecider,
+		observer:      options.Observer,
+		scheduler:     emulator.NewVirtualScheduler(StartTime),
+		network:       model.NewNetwork(scenario.Network, stream(streamNetwork)),
+		meter:         model.NewMeter(scenario.Meter, stream(streamMeter)),
+		ledger:        model.NewLedger(scenario.Plans),
+		serverRandom:  stream(streamServers),
+		gatewayRandom: stream(streamGateways),
+		attemptRandom: stream(streamAttempts),
+		zoneCuts:      make([]int, model.Zones(scenario)),
+	}
+	if w.observer == nil {
+		w.observer = emulator.Observers{}
+	}
+	w.workload = model.NewWorkload(scenario, options.Seed, StartTime)
+	w.discovery = model.NewDiscovery(scenario.Discovery, w.scheduler, stream(streamDiscovery))
+	w.discovery.OnOverdue = func(gateway int, list []policy.Endpoint) { w.gateways[gateway].countAsNotified(list) }
+	w.truth = newTruth(w)
+	for number := range scenario.Endpoints.Count {
+		w.addEndpoint(model.ZoneOf(scenario, number), number/model.Zones(scenario)%cellsPerZone, 0)
+	}
+	for number := range scenario.Gateways {
+		w.gateways = append(w.gateways, newGateway(w, number))
+	}
+	return w
+}
+
+// start makes the gateways ready and begins the load and the faults.
+func (w *world) start() {
+	_, list := w.discovery.List()
+	for _, g := range w.gateways {
+		g.start(list)
+	}
+	faults := rand.New(rand.NewPCG(w.seed, streamFaults))
+	model.ScheduleFaults(w.scenario, w.scheduler, faults, faultTarget{w}, w.observer)
+	w.scheduleNextArrival()
+}
+
+// scheduleNextArrival schedules the next first try of a client, which schedules the one after it.
+func (w *world) scheduleNextArrival() {
+	arrival, ok := w.workload.Next()
+	if !ok {
+		return
+	}
+	w.unsettled++
+	w.scheduler.After(arrival.At-w.scheduler.Now(), func() {
+		w.submit(arrival)
+		w.scheduleNextArrival()
+	})
+}
+
+func (w *world) observe(observation emulator.Observation) {
+	w.observer.Observe(w.scheduler.Now(), observation)
+}
+
+// reachable reports whether packets between a gateway and an endpoint arrive.
+func (w *world) reachable(g *gateway, e *endpoint) bool {
+	if e.cuts > 0 {
+		return false
+	}
+	return g.zone == e.zone || w.zoneCuts[g.zone] == 0 && w.zoneCuts[e.zone] == 0
+}
+
+// longestDeadline is that of all classes.
+func (w *world) longestDeadline() time.Duration {
+	var longest time.Duration
+	for i := range w.scenario.Classes {
+		longest = max(longest, w.scenario.Classes[i].Deadline.Of())
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/measure/endpoints.go
@@ -0,0 +1,112 @@
+package measure
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"springfield/policy"
+)
+
+// endpointLoads gathers the load of each endpoint that anything was heard of.
+type endpointLoads struct {
+	start time.Duration
+	byID  map[policy.EndpointID]*endpointLoad
+}
+
+type endpointLoad struct {
+	figures    EndpointLoad
+	up         bool
+	thisSecond int64 // attempts received in the present second
+	inFlight   int
+	changedAt  time.Duration // when inFlight last changed
+	busy       time.Duration // integral of inFlight over time
+}
+
+func newEndpointLoads(start time.Duration) endpointLoads {
+	return endpointLoads{start: start, byID: make(map[policy.EndpointID]*endpointLoad)}
+}
+
+func (e *endpointLoads) load(id policy.EndpointID) *endpointLoad {
+	load, known := e.byID[id]
+	if !known {
+		load = &endpointLoad{up: true, changedAt: e.start}
+		load.figures.Endpoint = uint32(id)
+		e.byID[id] = load
+	}
+	return load
+}
+
+func (e *endpointLoads) started(id policy.EndpointID) {
+	load := e.load(id)
+	load.up = true
+	load.figures.Starts++
+}
+
+func (e *endpointLoads) stopped(id policy.EndpointID) {
+	load := e.load(id)
+	load.up = false
+	load.figures.Stops++
+}
+
+// countAttempt counts an attempt whose end will not be seen.
+func (e *endpointLoads) countAttempt(id policy.EndpointID) *endpointLoad {
+	load := e.load(id)
+	load.figures.Received++
+	load.thisSecond++
+	return load
+}
+
+func (e *endpointLoads) attemptReceived(now time.Duration, id policy.EndpointID) {
+	e.countAttempt(id).setInFlight(now, +1)
+}
+
+func (e *endpointLoads) attemptEnded(now time.Duration, id policy.EndpointID) {
+	e.load(id).setInFlight(now, -1)
+}
+
+func (l *endpointLoad) setInFlight(now time.Duration, change int) {
+	l.integrate(now)
+	l.inFlight += change
+	l.figures.MaxInFlight = max(l.figures.MaxInFlight, l.inFlight)
+}
+
+func (l *endpointLoad) integrate(now time.Duration) {
+	elapsed := max(0, now-l.changedAt)
+	l.busy += time.Duration(l.inFlight) * elapsed
+	l.changedAt = max(l.changedAt, now)
+}
+
+// endSecond returns how the attempts of the second that ends were spread over the endpoints that are up.
+func (e *endpointLoads) endSecond() Spread {
+	counts := make([]int64, 0, len(e.byID))
+	for _, load := range e.byID {
+		if load.up || load.thisSecond > 0 {
+			counts = append(counts, load.thisSecond)
+		}
+		load.thisSecond = 0
+	}
+	if len(counts) == 0 {
+		return Spread{}
+	}
+	slices.Sort(counts)
+	middle := len(counts) / 2
+	median := float64(counts[middle])
+	if len(counts)%2 == 0 {
+		median = float64(counts[middle-1]+counts[middle]) / 2
+	}
+	return Spread{Min: counts[0], Median: median, Max: counts[len(counts)-1]}
+}
+
+// results returns the load of all endpoints in the order of their ids.
+func (e *endpointLoads) results(end time.Duration) []EndpointLoad {
+	results := make([]EndpointLoad, 0, len(e.byID))
+	for _, id := range slices.Sorted(maps.Keys(e.byID)) {
+		load := e.byID[id]
+		load.integrate(end)
+		figures := load.figures
+		figures.MeanInFlight = ratio(load.busy.Seconds(), (end - e.start).Seconds())
+		results = append(results, figures)
+	}
+	return results
+}
--- /dev/null
+++ b/internal/measure/group.go
@@ -0,0 +1,92 @@
+package measure
+
+// group gathers the figures of the requests of a plan, of a class or of the whole run.
+type group struct {
+	name    string
+	endings [endingKinds]int64
+	value   Value
+	latency latencyHistogram
+}
+
+func newGroup(name string) group {
+	return group{name: name, latency: newLatencyHistogram()}
+}
+
+func (v *Value) requestInQuota(value float64) {
+	v.Requested += value
+	v.RequestedInQuota += value
+}
+
+func (v *Value) requestOverQuota(reduced float64) { v.Requested += reduced }
+
+func (v *Value) earn(value float64, inQuota bool) {
+	v.Earned += value
+	if inQuota {
+		v.EarnedInQuota += value
+	}
+}
+
+func (v *Value) forwardOverQuota(cost float64) {
+	v.OverQuotaCost += cost
+	v.OverQuotaTries++
+}
+
+// withShares returns the value with its derived figures.
+func (v Value) withShares() Value {
+	v.Share = valueShare(v.Earned, v.Requested)
+	v.ShareInQuota = valueShare(v.EarnedInQuota, v.RequestedInQuota)
+	v.OverQuotaPrice = ratio(v.OverQuotaCost, v.Requested)
+	return v
+}
+
+func (g *group) result() Group {
+	return Group{
+		Name:     g.name,
+		Requests: outcomes(g.endings),
+		Value:    g.value.withShares(),
+		Latency:  g.latency.summary(),
+	}
+}
+
+func groupResults(groups []group) []Group {
+	results := make([]Group, 0, len(groups))
+	for i := range groups {
+		results = append(results, groups[i].result())
+	}
+	return results
+}
+
+func outcomes(endings [endingKinds]int64) Outcomes {
+	total := int64(0)
+	for _, count := range endings {
+		total += count
+	}
+	outcome := func(count int64) Outcome {
+		return Outcome{Count: count, Share: ratio(float64(count), float64(total))}
+	}
+	return Outcomes{
+		Total:        total,
+		Served:       outcome(endings[endingServed] + endings[endingLate]),
+		Late:         outcome(endings[endingLate]),
+		Spoilt:       outcome(endings[endingSpoilt]),
+		Rejected:     outcome(endings[endingRejected]),
+		Failed:       outcome(endings[endingFailed]),
+		Missing:      outcome(endings[endingMissing]),
+		Disconnected: outcome(endings[endingDisconnected]),
+	}
+}
+
+// valueShare is the part of a value that was earned. Where nothing was requested nothing is lost.
+func valueShare(earned, requested float64) float64 {
+	if requested <= 0 {
+		return 1
+	}
+	return min(1, earned/requested)
+}
+
+func ratio(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
--- /dev/null
+++ b/internal/measure/quota.go
@@ -0,0 +1,74 @@
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/model"
+	"springfield/policy"
+)
+
+// quota tells of each try whether it is inside the quota of its customer, by the true state of the whole deployment.
+type quota struct {
+	settled bool
+	ledger  *model.Ledger
+}
+
+func newQuota(scenario *emulator.Scenario) *quota {
+	return &quota{settled: scenario.Meter.Settled, ledger: model.NewLedger(scenario.Plans)}
+}
+
+// take charges a try whose first attempt has reached an endpoint, and tells whether it is inside the quota.
+func (q *quota) take(now time.Duration, t *try) bool {
+	return q.ledger.Take(now, t.request.customer, t.request.plan, t.units)
+}
+
+// settle corrects a try inside the quota by the true units, which its first good response tells.
+func (q *quota) settle(t *try) {
+	if q.settled && t.inQuota {
+		q.ledger.Settle(t.request.customer, t.request.plan, t.trueUnits-t.units)
+	}
+}
+
+func (q *quota) attemptReceived(owner *request) { q.ledger.BeginAttempt(owner.customer, owner.plan) }
+
+func (q *quota) attemptEnded(owner *request) { q.ledger.EndAttempt(owner.customer, owner.plan) }
+
+// singleGateway is the gateway that sees all first tries. It admits what is inside the quotas and executes each
+// request at once for the mean work of its class, so that what it admits does not depend on the gateways of the run.
+type singleGateway struct {
+	scenario *emulator.Scenario
+	ledger   *model.Ledger
+	busy     map[policy.CustomerID][]time.Duration // until when a customer's admitted requests are executed
+}
+
+func newSingleGateway(scenario *emulator.Scenario) *singleGateway {
+	return &singleGateway{
+		scenario: scenario,
+		ledger:   model.NewLedger(scenario.Plans),
+		busy:     make(map[policy.CustomerID][]time.Duration),
+	}
+}
+
+// admits tells whether the first try of a request is inside the quota of its customer.
+func (g *singleGateway) admits(now time.Duration, submitted *emulator.RequestSubmitted) bool {
+	customer, plan := submitted.Customer, submitted.Plan
+	if g.scenario.Plans[plan].MaxConcurrent <= 0 {
+		return g.ledger.Take(now, customer, plan, submitted.Units)
+	}
+	g.busy[customer] = slices.DeleteFunc(g.busy[customer], func(end time.Duration) bool {
+		ended := end <= now
+		if ended {
+			g.ledger.EndAttempt(customer, plan)
+		}
+		return ended
+	})
+	admitted := g.ledger.Take(now, customer, plan, submitted.Units)
+	if admitted {
+		work := float64(g.scenario.Classes[submitted.Class].Work) * submitted.Units
+		g.busy[customer] = append(g.busy[customer], now+time.Duration(work))
+		g.ledger.BeginAttempt(customer, plan)
+	}
+	return admitted
+}
--- /dev/null
+++ b/internal/measure/recorder.go
@@ -0,0 +1,215 @@
+package measure
+
+import (
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/policy"
+)
+
+// Recorder observes a run and makes its Result. Besides the result it holds only the requests whose last deadline has
+// not passed, and the quotas of the customers. It is not safe for concurrent use.
+type Recorder struct {
+	scenario  *emulator.Scenario
+	start     time.Duration
+	lastEvent time.Duration // of a request or an attempt
+
+	open      openRequests
+	quota     *quota
+	reference *singleGateway
+
+	whole     group
+	plans     []group
+	classes   []group
+	tries     [endingKinds]int64
+	attempts  Attempts
+	endpoints endpointLoads
+	timeline  timeline
+	faults    []FaultSpan
+	active    []activeFault
+}
+
+var _ emulator.Observer = (*Recorder)(nil)
+
+// NewRecorder returns a recorder of a run of the scenario whose load begins at start.
+func NewRecorder(scenario *emulator.Scenario, start time.Duration) *Recorder {
+	recorder := &Recorder{
+		scenario:  scenario,
+		start:     start,
+		lastEvent: start,
+		open:      newOpenRequests(len(scenario.Classes)),
+		quota:     newQuota(scenario),
+		reference: newSingleGateway(scenario),
+		whole:     newGroup(""),
+		endpoints: newEndpointLoads(start),
+		timeline:  newTimeline(start, len(scenario.Plans)),
+	}
+	for i := range scenario.Plans {
+		recorder.plans = append(recorder.plans, newGroup(scenario.Plans[i].Name))
+	}
+	for i := range scenario.Classes {
+		recorder.classes = append(recorder.classes, newGroup(scenario.Classes[i].Name))
+	}
+	return recorder
+}
+
+// Observe implements emulator.Observer.
+func (r *Recorder) Observe(at time.Duration, observation emulator.Observation) {
+	r.expireRequests(at, at)
+	r.timeline.advance(at, &r.endpoints)
+	switch o := observation.(type) {
+	case emulator.RequestSubmitted:
+		r.lastEvent = at
+		r.submitted(at, &o)
+	case emulator.AttemptForwarded:
+		r.lastEvent = at
+		r.forwarded(&o)
+	case emulator.AttemptReceived:
+		r.lastEvent = at
+		r.received(at, &o)
+	case emulator.AttemptEnded:
+		r.lastEvent = at
+		r.attemptEnded(at, &o)
+	case emulator.RequestAnswered:
+		r.lastEvent = at
+		r.answered(at, &o)
+	case emulator.ClientDisconnected:
+		r.lastEvent = at
+		r.disconnected(at, o.Request)
+	case emulator.EndpointStarted:
+		r.endpoints.started(o.Endpoint)
+	case emulator.EndpointStopped:
+		r.endpoints.stopped(o.Endpoint)
+	case emulator.EndpointOverloaded:
+		r.endpoints.load(o.Endpoint).figures.Overloads++
+	case emulator.FaultChanged:
+		r.faultChanged(at, o)
+	}
+}
+
+func (r *Recorder) submitted(at time.Duration, o *emulator.RequestSubmitted) {
+	second := r.timeline.current()
+	second.Tries++
+	second.Plans[o.Plan].RequestedUnits += o.Units
+	owner, known := r.open.requests[o.Original]
+	if o.Original == o.Request {
+		owner = r.newRequest(at, o)
+		second.Requests++
+	} else {
+		r.attempts.ClientRetries++
+		if !known {
+			return // the request's last deadline has passed
+		}
+	}
+	r.open.addTry(&try{key: o.Request, request: owner, deadline: o.Deadline, units: o.Units, trueUnits: o.Units})
+}
+
+func (r *Recorder) newRequest(at time.Duration, o *emulator.RequestSubmitted) *request {
+	plan, class := &r.scenario.Plans[o.Plan], &r.scenario.Classes[o.Class]
+	opened := &request{
+		key:       o.Original,
+		customer:  o.Customer,
+		plan:      o.Plan,
+		class:     o.Class,
+		submitted: at,
+		expiresAt: at + class.Deadline.Of() + expiryGrace,
+		value:     class.Value * plan.Price * o.Units,
+	}
+	r.open.addRequest(opened)
+	second := r.timeline.current()
+	if r.reference.admits(at, o) {
+		second.RequestedInQuotaValue += opened.value
+		second.RequestedValue += opened.value
+		r.eachGroup(opened, func(g *group) { g.value.requestInQuota(opened.value) })
+	} else {
+		reduced := opened.value * plan.OverQuotaValue
+		second.RequestedValue += reduced
+		r.eachGroup(opened, func(g *group) { g.value.requestOverQuota(reduced) })
+	}
+	return opened
+}
+
+// eachGroup calls a function for the groups that a request belongs to.
+func (r *Recorder) eachGroup(of *request, do func(*group)) {
+	do(&r.whole)
+	do(&r.plans[of.plan])
+	do(&r.classes[of.class])
+}
+
+func (r *Recorder) forwarded(o *emulator.AttemptForwarded) {
+	second := r.timeline.current()
+	second.Forwarded++
+	r.attempts.Forwarded++
+	if o.NewConnection {
+		second.NewConnections++
+		r.attempts.NewConnections++
+		r.endpoints.load(o.Endpoint).figures.NewConnections++
+	}
+	t, open := r.open.tries[o.Request]
+	if !open {
+		return
+	}
+	if t.forwarded {
+		second.Retries++
+		r.attempts.Retries++
+	}
+	t.forwarded = true
+	t.pending++
+}
+
+func (r *Recorder) received(at time.Duration, o *emulator.AttemptReceived) {
+	r.attempts.Received++
+	t, open := r.open.tries[o.Request]
+	if !open {
+		r.endpoints.countAttempt(o.Endpoint)
+		return
+	}
+	if !t.received {
+		r.chargeQuota(at, t, o.Units)
+	}
+	t.inFlight = append(t.inFlight, attempt{number: o.Attempt, endpoint: o.Endpoint})
+	r.quota.attemptReceived(t.request)
+	r.endpoints.attemptReceived(at, o.Endpoint)
+}
+
+// chargeQuota books a try whose first attempt has reached an endpoint.
+func (r *Recorder) chargeQuota(at time.Duration, t *try, trueUnits float64) {
+	t.received = true
+	t.trueUnits = trueUnits
+	t.inQuota = r.quota.take(at, t)
+	plan := &r.timeline.current().Plans[t.request.plan]
+	if t.inQuota {
+		plan.InQuotaUnits += t.units
+		return
+	}
+	plan.OverQuotaUnits += t.units
+	cost := t.request.value * r.scenario.Plans[t.request.plan].OverQuotaCost
+	r.eachGroup(t.request, func(g *group) { g.value.forwardOverQuota(cost) })
+}
+
+func (r *Recorder) attemptEnded(at time.Duration, o *emulator.AttemptEnded) {
+	if o.Executed {
+		r.attempts.Executed++
+		r.endpoints.load(o.Endpoint).figures.Executed++
+	}
+	t, open := r.open.tries[o.Request]
+	if !open {
+		return
+	}
+	if o.Status != policy.StatusNotSent {
+		t.pending = max(0, t.pending-1)
+	}
+	if t.removeAttempt(o.Attempt) {
+		r.quota.attemptEnded(t.request)
+		r.endpoints.attemptEnded(at, o.Endpoint)
+	}
+	r.settleQuota(t, o)
+	r.removeIfOver(t)
+}
+
+// removeIfOver removes a try that has ended, unless one of its attempts may still reach an endpoint and take units.
+func (r *Recorder) removeIfOver(t *try) {
+	if t.ended && t.pending == 0 && len(t.inFlight) == 0 {
+		r.open.removeTry(t)
+	}
+}
