Emulate the deployment over sockets, with real gateway processes; a late oracle that spreads

Cause: the README's run command needed discovery, endpoints and clients that the repository did not have. Change: internal/emulator/loopback runs the models of the lab as listeners on 127.0.0.0/8 against gateway processes, with SIGTERM, SIGHUP and SIGKILL; the late oracle picks the less loaded of two random endpoints.

--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -65,7 +65,8 @@
 	return g
 }
 
-// LateOracle sees the true quotas and queues as they were a second ago.
+// LateOracle sees the true quotas and queues as they were a second ago. Of two random endpoints it picks the one that
+// was less loaded.
 func LateOracle(cfg policy.Config, actions policy.Actions, truth emulator.Truth) emulator.Decider {
 	return newOracle(cfg, actions, truth, lateOracleAge)
 }
@@ -86,15 +87,24 @@
 		return earnsOverQuota || truth.QuotaLeft(r.Customer, r.Plan, age) >= r.Units
 	}
 	g.choose = func(_ *request, candidates []*endpoint) *endpoint {
-		var best *endpoint
-		var shortest time.Duration
-		for _, candidate := range candidates {
-			backlog := truth.Backlog(candidate.ID, age)
-			if best == nil || backlog < shortest || backlog == shortest && candidate.inFlight < best.inFlight {
-				best, shortest = candidate, backlog
-			}
+		if age > 0 {
+			// All gateways see the same late state: if each took the best, they would overload it together.
+			candidates = g.sampleTwo(candidates)
 		}
-		return best
+		return leastBacklog(candidates, truth, age)
 	}
 	return g
 }
+
+// leastBacklog returns the endpoint that would begin a request first, of equal ones the one with less in flight.
+func leastBacklog(candidates []*endpoint, truth emulator.Truth, age time.Duration) *endpoint {
+	var best *endpoint
+	var shortest time.Duration
+	for _, candidate := range candidates {
+		backlog := truth.Backlog(candidate.ID, age)
+		if best == nil || backlog < shortest || backlog == shortest && candidate.inFlight < best.inFlight {
+			best, shortest = candidate, backlog
+		}
+	}
+	return best
+}
--- a/internal/baseline/gateway.go
+++ b/internal/baseline/gateway.go
@@ -223,12 +223,11 @@
 
 // lessLoadedOfTwo is the power of two choices: of two random endpoints the one with less in flight for its weight.
 func (g *gateway) lessLoadedOfTwo(_ *request, candidates []*endpoint) *endpoint {
-	first := candidates[g.random.IntN(len(candidates))]
-	second := candidates[g.random.IntN(len(candidates))]
-	if second.loadPerWeight() < first.loadPerWeight() {
-		return second
+	two := g.sampleTwo(candidates)
+	if two[1].loadPerWeight() < two[0].loadPerWeight() {
+		return two[1]
 	}
-	return first
+	return two[0]
 }
 
 // loadPerWeight is what is in flight at an endpoint for its relative capacity, which counts as 1 where it is not known.
@@ -238,3 +237,8 @@
 	}
 	return float64(ep.inFlight) / ep.Weight
 }
+
+// sampleTwo returns two random endpoints, perhaps the same one twice.
+func (g *gateway) sampleTwo(candidates []*endpoint) []*endpoint {
+	return []*endpoint{candidates[g.random.IntN(len(candidates))], candidates[g.random.IntN(len(candidates))]}
+}
--- /dev/null
+++ b/internal/emulator/loopback/client.go
@@ -0,0 +1,249 @@
+package loopback
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/model"
+)
+
+const (
+	clientDialTimeout = time.Second
+
+	// answerSlack is added to model.AnswerGrace: every time limit is 50 ms longer on sockets.
+	answerSlack = 50 * time.Millisecond
+
+	// drainConnections is how long after SIGTERM new connections of clients still arrive, and clients go on using those
+	// that they have until these are closed.
+	drainConnections = 300 * time.Millisecond
+)
+
+// clientConnection is a connection of the clients to a gateway.
+type clientConnection struct {
+	net.Conn
+	reader    *bufio.Reader
+	used      bool          // a request has been answered on it
+	idleSince time.Duration // while it is kept
+}
+
+// exchangeFault is what kept an exchange from being one.
+type exchangeFault uint8
+
+const (
+	faultNone         exchangeFault = iota
+	faultNoConnection               // the gateway takes no new connection
+	faultUnread                     // the gateway has closed a kept connection, as if it had not read the request
+)
+
+// outcome is how a client's exchange with a gateway ended.
+type outcome struct {
+	answer     emulator.Answer
+	body       string
+	retryAfter time.Duration
+	fault      exchangeFault
+	left       bool // the client has closed its connection, or sends elsewhere what the gateway has not read
+}
+
+// submit sends a try of a client, in the scheduler.
+func (w *World) submit(arrival model.Arrival) {
+	w.summary.Requests++
+	arrival.Gateway = w.workload.Redirect(&arrival, func(number int) bool { return w.gateways[number].takesRequests() })
+	r := &request{arrival: arrival, message: newMessage(w.scenario, &arrival)}
+	w.requests[arrival.Request] = r
+	w.exchange(r)
+}
+
+// exchange sends a request to its gateway in a goroutine of its own.
+func (w *World) exchange(r *request) {
+	g := w.gateways[r.arrival.Gateway]
+	g.exchanges++
+	if w.clients >= maxClientConnections {
+		w.scheduler.After(0, func() { w.finish(r, outcome{answer: emulator.AnswerMissing}) })
+		return
+	}
+	w.clients++
+	kept, process := g.takeIdle(), g.process
+	w.running.Go(func() {
+		result := w.converse(g, r, kept)
+		w.scheduler.Do(func() {
+			w.clients--
+			if w.resend(g, process, r, &result) {
+				g.exchangeEnded()
+				w.exchange(r)
+				return
+			}
+			w.finish(r, result)
+		})
+	})
+}
+
+// resend reports whether a request is to be sent once more because it was not read: a kept connection was closed as it
+// came, or a gateway that shuts down takes no new connections. In the second case the front takes the request to
+// another gateway if it can; that a gateway has died it does not notice at once.
+func (w *World) resend(g *gateway, process *process, r *request, result *outcome) bool {
+	if result.fault == faultNone || r.attempts > 0 || w.scheduler.Now() >= r.arrival.Deadline {
+		return false
+	}
+	if result.fault == faultUnread {
+		again := !r.resent && g.process == process && g.accepts()
+		r.resent = r.resent || again
+		result.left = !again && g.shutDown
+		return again
+	}
+	if r.observed || !g.shutDown {
+		result.left = r.resent && g.shutDown
+		return false
+	}
+	others := func(number int) bool { return number != g.index && w.gateways[number].takesRequests() }
+	r.arrival.Gateway = w.workload.Redirect(&r.arrival, others)
+	again := !r.resent && r.arrival.Gateway != g.index
+	r.resent = true
+	if !again {
+		r.arrival.Gateway = g.index
+	}
+	return again
+}
+
+// converse sends the request on a connection and reads the answer. The connection is kept if that is possible.
+func (w *World) converse(g *gateway, r *request, conn *clientConnection) outcome {
+	if conn == nil {
+		dialer := net.Dialer{Timeout: clientDialTimeout}
+		dialed, err := dialer.DialContext(w.ctx, "tcp4", g.address)
+		if err != nil {
+			return outcome{answer: emulator.AnswerMissing, fault: faultNoConnection}
+		}
+		conn = &clientConnection{Conn: dialed, reader: bufio.NewReader(dialed)}
+	}
+	w.scheduler.Do(func() { w.observeSubmitted(r) })
+	stop := context.AfterFunc(w.ctx, func() { reset(conn.Conn) })
+	defer stop()
+	response, body, err := conn.roundTrip(r)
+	if err != nil {
+		result := w.failedOutcome(r, conn, err)
+		_ = conn.Close() // nothing more is expected on it
+		return result
+	}
+	conn.used = true
+	if response.Close || !w.keepIdle(g, conn) {
+		_ = conn.Close() // nothing more is expected on it
+	}
+	return newOutcome(response, body)
+}
+
+// roundTrip writes a request and reads the response.
+func (c *clientConnection) roundTrip(r *request) (*http.Response, string, error) {
+	latest := r.arrival.Deadline + model.AnswerGrace + answerSlack
+	if r.arrival.AbandonAt > 0 {
+		latest = min(latest, r.arrival.AbandonAt)
+	}
+	if err := c.SetDeadline(time.Unix(0, int64(latest))); err != nil {
+		return nil, "", err
+	}
+	wait := r.arrival.Deadline - time.Duration(time.Now().UnixNano())
+	if _, err := c.Write(r.message.encode(max(time.Millisecond, wait))); err != nil {
+		return nil, "", err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, "", err
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: r.message.method})
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
+	return response, string(body), err
+}
+
+// failedOutcome tells what the error of an exchange means: the client gives up, or the connection has ended.
+func (w *World) failedOutcome(r *request, conn *clientConnection, err error) outcome {
+	result := outcome{answer: emulator.AnswerMissing}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		result.left = r.arrival.AbandonAt > 0 && w.scheduler.Now() >= r.arrival.AbandonAt
+		if result.left {
+			w.scheduler.Do(func() { w.observeDisconnected(r) }) // before the connection is closed
+		}
+		return result
+	}
+	if conn.used && conn.reader.Buffered() == 0 {
+		result.fault = faultUnread
+	}
+	return result
+}
+
+func (w *World) observeDisconnected(r *request) {
+	w.observe(emulator.ClientDisconnected{Request: r.arrival.Request, Gateway: r.arrival.Gateway})
+}
+
+func newOutcome(response *http.Response, body string) outcome {
+	result := outcome{answer: emulator.AnswerFailed, body: body}
+	switch response.StatusCode {
+	case http.StatusOK:
+		result.answer = emulator.AnswerServed
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		result.answer = emulator.AnswerRejected
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		if err == nil {
+			result.retryAfter = time.Duration(seconds * float64(time.Second))
+		}
+	}
+	return result
+}
+
+// observeSubmitted observes once that a request comes to its gateway.
+func (w *World) observeSubmitted(r *request) {
+	if r.observed {
+		return
+	}
+	r.observed = true
+	w.observe(emulator.RequestSubmitted{
+		Request:  r.arrival.Request,
+		Original: r.arrival.Original,
+		Gateway:  r.arrival.Gateway,
+		Customer: r.arrival.Customer,
+		Plan:     r.arrival.Plan,
+		Class:    r.arrival.Class,
+		Units:    r.arrival.Units,
+		Deadline: r.arrival.Deadline,
+	})
+}
+
+// finish handles the final outcome of a try: the client may send another one.
+func (w *World) finish(r *request, result outcome) {
+	w.gateways[r.arrival.Gateway].exchangeEnded()
+	w.scheduler.After(rememberedFor, func() { delete(w.requests, r.arrival.Request) })
+	if !r.observed {
+		w.summary.FailedDials++
+		w.observeSubmitted(r)
+	}
+	switch {
+	case !result.left:
+		w.observe(emulator.RequestAnswered{
+			Request: r.arrival.Request,
+			Gateway: r.arrival.Gateway,
+			Answer:  result.answer,
+			Genuine: result.answer == emulator.AnswerServed && slices.Contains(r.bodies, result.body),
+		})
+	case result.fault != faultNone:
+		w.observeDisconnected(r)
+		result.answer = emulator.AnswerRejected // it was never read
+	default:
+		w.settle()
+		return
+	}
+	now := w.scheduler.Now()
+	next, ok := w.workload.Retry(r.arrival, result.answer, result.retryAfter, now)
+	if !ok {
+		w.settle()
+		return
+	}
+	w.scheduler.After(next.At-now, func() { w.submit(next) })
+}
--- /dev/null
+++ b/internal/emulator/loopback/endpoint.go
@@ -0,0 +1,176 @@
+package loopback
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/model"
+	"springfield/policy"
+)
+
+// endpoint is an upstream server: the model of its machine behind a listener. Its fields belong to the scheduler.
+type endpoint struct {
+	world      *World
+	id         policy.EndpointID
+	zone, cell int
+	server     *model.Server
+	address    string
+	listener   net.Listener // nil: its process has ended
+	cuts       int          // partitions that cut it off from all gateways now
+
+	connections []*upstreamConnection // that are open, in the order in which they were accepted
+}
+
+// addEndpoint starts a new endpoint. startedAt 0 means that it has run for long.
+func (w *World) addEndpoint(zone, cell int, startedAt time.Duration) error {
+	listener, err := w.subnet.listen(endpointHost)
+	if err != nil {
+		return err
+	}
+	e := &endpoint{
+		world:   w,
+		id:      policy.EndpointID(len(w.endpoints) + 1),
+		zone:    zone,
+		cell:    cell,
+		address: listener.Addr().String(),
+	}
+	spread := w.scenario.Endpoints.SpeedSpread
+	e.server = model.NewServer(model.ServerSpec{
+		ID:        e.id,
+		Zone:      zone,
+		Cell:      cell,
+		Endpoints: w.scenario.Endpoints,
+		WarmUp:    w.scenario.WarmUp,
+		Speed:     1 + spread*(2*w.serverRandom.Float64()-1),
+		MeanWork:  model.MeanWork(w.scenario),
+		StartedAt: startedAt,
+	}, w.scheduler, w.serverRandom)
+	e.server.OnOverload = func(informedShare float64) {
+		w.observe(emulator.EndpointOverloaded{Endpoint: e.id, InformedShare: informedShare})
+		e.stop()
+	}
+	w.endpoints = append(w.endpoints, e)
+	e.started(listener, startedAt > 0 && w.scenario.WarmUp.Duration > 0)
+	return nil
+}
+
+// started accepts connections and publishes the endpoint.
+func (e *endpoint) started(listener net.Listener, warming bool) {
+	e.listener = listener
+	e.world.observe(emulator.EndpointStarted{Endpoint: e.id, Warming: warming})
+	e.world.discovery.Set(e.server.Endpoint())
+	e.world.running.Go(func() { e.accept(listener) })
+}
+
+// accept serves the connections of one process of the endpoint until its listener is closed.
+func (e *endpoint) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.world.logger.Warn("accepting at an endpoint failed", "endpoint", e.id, "err", err)
+			if !e.world.pause(acceptRetryDelay) {
+				return
+			}
+			continue
+		}
+		served := false
+		e.world.scheduler.Do(func() { served = e.connected(conn, listener) })
+		if !served {
+			reset(conn)
+		}
+	}
+}
+
+// acceptRetryDelay is the pause after a connection could not be accepted, as when no descriptor is free.
+const acceptRetryDelay = 10 * time.Millisecond
+
+// connected serves a connection that was accepted by the listener. It reports false if the process of that listener has
+// ended.
+func (e *endpoint) connected(conn net.Conn, listener net.Listener) bool {
+	if e.listener != listener {
+		return false
+	}
+	c := &upstreamConnection{endpoint: e, conn: conn, process: listener, admitted: e.server.Connect()}
+	e.connections = append(e.connections, c)
+	e.world.running.Go(c.serve)
+	return true
+}
+
+// drain makes the endpoint reject new requests.
+func (e *endpoint) drain() {
+	if e.listener == nil {
+		return
+	}
+	e.server.Drain()
+	e.world.discovery.Set(e.server.Endpoint())
+}
+
+// stop ends the endpoint's process: its connections are reset and new ones are refused.
+func (e *endpoint) stop() {
+	if e.listener == nil {
+		return
+	}
+	e.server.Stop()
+	e.closeListener()
+	e.world.observe(emulator.EndpointStopped{Endpoint: e.id})
+	e.resetConnections()
+	e.world.discovery.Set(e.server.Endpoint())
+}
+
+func (e *endpoint) resetConnections() {
+	for _, c := range e.connections {
+		c.reset()
+	}
+}
+
+// restart starts the endpoint's process again at the same address.
+func (e *endpoint) restart() {
+	if e.listener != nil {
+		return
+	}
+	listener, err := net.Listen("tcp4", e.address)
+	if err != nil {
+		e.world.logger.Error("restarting an endpoint failed", "endpoint", e.id, "err", err)
+		return
+	}
+	e.server.Start(e.world.scheduler.Now())
+	e.started(listener, e.world.scenario.WarmUp.Duration > 0)
+}
+
+func (e *endpoint) closeListener() {
+	if e.listener != nil {
+		_ = e.listener.Close() // it is open: it is closed only here
+		e.listener = nil
+	}
+}
+
+// endpoint returns the endpoint of an id, or nil.
+func (w *World) endpoint(id policy.EndpointID) *endpoint {
+	if id == 0 || int(id) > len(w.endpoints) {
+		return nil
+	}
+	return w.endpoints[id-1]
+}
+
+// endpointAddress is the addressBook of the world.
+func (w *World) endpointAddress(id policy.EndpointID) string {
+	if e := w.endpoint(id); e != nil {
+		return e.address
+	}
+	return ""
+}
+
+// pause waits for a time. It reports false if the world ends before.
+func (w *World) pause(delay time.Duration) bool {
+	select {
+	case <-time.After(delay):
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/emulator/loopback/endpoint_list.go
@@ -0,0 +1,74 @@
+package loopback
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"springfield/internal/emulator/model"
+	"springfield/policy"
+)
+
+// listMessage is a list of endpoints in discovery's JSON form: the complete list, or the entries that have changed.
+type listMessage struct {
+	Version uint64            `json:"version"`
+	Full    bool              `json:"full"`
+	Servers []instanceMessage `json:"servers"`
+}
+
+// instanceMessage is one entry of a listMessage.
+type instanceMessage struct {
+	ID        string  `json:"id"`
+	Address   string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"`
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"`
+}
+
+// instanceKind is the kind of machine that all endpoints have.
+const instanceKind = "loopback"
+
+// addressBook tells at which address an endpoint is reached.
+type addressBook func(id policy.EndpointID) string
+
+func newListMessage(version uint64, full bool, list []policy.Endpoint, addresses addressBook) listMessage {
+	message := listMessage{Version: version, Full: full, Servers: make([]instanceMessage, 0, len(list))}
+	for _, endpoint := range list {
+		message.Servers = append(message.Servers, instanceMessage{
+			ID:        instanceID(endpoint.ID),
+			Address:   addresses(endpoint.ID),
+			Zone:      model.ZoneName(endpoint.Zone),
+			Kind:      instanceKind,
+			Cell:      endpoint.Cell,
+			State:     stateName(endpoint.State),
+			Weight:    endpoint.Weight,
+			StartedMS: int64(endpoint.StartedAt / time.Millisecond),
+		})
+	}
+	return message
+}
+
+// encode returns the message as one line of a watch.
+func (m listMessage) encode() ([]byte, error) {
+	line, err := json.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode the endpoint list: %w", err)
+	}
+	return append(line, '\n'), nil
+}
+
+func instanceID(id policy.EndpointID) string { return fmt.Sprintf("endpoint-%d", id) }
+
+func stateName(state policy.EndpointState) string {
+	switch state {
+	case policy.StateReady:
+		return "up"
+	case policy.StateDraining:
+		return "draining"
+	default:
+		return "removed"
+	}
+}
--- /dev/null
+++ b/internal/emulator/loopback/faults.go
@@ -0,0 +1,159 @@
+package loopback
+
+import (
+	"syscall"
+
+	"springfield/internal/emulator/model"
+	"springfield/policy"
+)
+
+// faultTarget lets the fault schedule act on the world. Faults of gateways that are started by hand are left out.
+type faultTarget struct{ w *World }
+
+var _ model.FaultTarget = faultTarget{}
+
+// Gateways implements model.FaultTarget.
+func (t faultTarget) Gateways() int { return len(t.w.gateways) }
+
+// GatewayZone implements model.FaultTarget.
+func (t faultTarget) GatewayZone(gateway int) int { return t.w.gateways[gateway].zone }
+
+// Endpoints implements model.FaultTarget.
+func (t faultTarget) Endpoints() []policy.Endpoint {
+	var ready []policy.Endpoint
+	_, list := t.w.discovery.List()
+	for _, entry := range list {
+		if entry.State == policy.StateReady {
+			ready = append(ready, entry)
+		}
+	}
+	return ready
+}
+
+// KillGateway implements model.FaultTarget.
+func (t faultTarget) KillGateway(gateway int) { t.w.gateways[gateway].killByFault() }
+
+// StartGateway implements model.FaultTarget.
+func (t faultTarget) StartGateway(gateway int) {
+	if t.w.startsGateways() {
+		t.w.gateways[gateway].start()
+	}
+}
+
+// RestartGateway implements model.FaultTarget.
+func (t faultTarget) RestartGateway(gateway int) { t.w.gateways[gateway].shutDownAndRestart() }
+
+// DrainEndpoint implements model.FaultTarget.
+func (t faultTarget) DrainEndpoint(id policy.EndpointID) { t.w.endpoint(id).drain() }
+
+// StopEndpoint implements model.FaultTarget.
+func (t faultTarget) StopEndpoint(id policy.EndpointID) { t.w.endpoint(id).stop() }
+
+// StartEndpoint implements model.FaultTarget.
+func (t faultTarget) StartEndpoint(id policy.EndpointID) { t.w.endpoint(id).restart() }
+
+// AddReplacement implements model.FaultTarget.
+func (t faultTarget) AddReplacement(id policy.EndpointID) {
+	replaced := t.w.endpoint(id)
+	if err := t.w.addEndpoint(replaced.zone, replaced.cell, t.w.scheduler.Now()); err != nil {
+		t.w.logger.Error("adding an endpoint failed", "err", err)
+	}
+}
+
+// SlowEndpoint implements model.FaultTarget.
+func (t faultTarget) SlowEndpoint(id policy.EndpointID, factor float64) {
+	t.w.endpoint(id).server.SetSlowdown(factor)
+}
+
+// FailEndpoint implements model.FaultTarget.
+func (t faultTarget) FailEndpoint(id policy.EndpointID, share float64) {
+	t.w.endpoint(id).server.SetErrorShare(share)
+}
+
+// SilenceEndpoint implements model.FaultTarget.
+func (t faultTarget) SilenceEndpoint(id policy.EndpointID, silent bool) {
+	t.w.endpoint(id).server.SetSilent(silent)
+}
+
+// CutEndpoint implements model.FaultTarget.
+func (t faultTarget) CutEndpoint(id policy.EndpointID, cut bool) {
+	t.w.endpoint(id).cuts += cutChange(cut)
+	t.w.resetCutOff()
+}
+
+// CutZone implements model.FaultTarget.
+func (t faultTarget) CutZone(zone int, cut bool) {
+	if zone < len(t.w.zoneCuts) {
+		t.w.zoneCuts[zone] += cutChange(cut)
+		t.w.resetCutOff()
+	}
+}
+
+func cutChange(cut bool) int {
+	if cut {
+		return 1
+	}
+	return -1
+}
+
+// resetCutOff resets the connections on which something was lost, of the endpoints that are not cut off any more.
+func (w *World) resetCutOff() {
+	for _, e := range w.endpoints {
+		for _, c := range e.connections {
+			if c.cutOff && w.reachable(c.gateway, e) {
+				c.reset()
+			}
+		}
+	}
+}
+
+// ResetAttempts implements model.FaultTarget.
+func (t faultTarget) ResetAttempts(share float64) { t.w.resetShare = share }
+
+// SpoilAnswers implements model.FaultTarget.
+func (t faultTarget) SpoilAnswers(share float64) { t.w.spoiltShare = share }
+
+// SilenceMeter implements model.FaultTarget.
+func (t faultTarget) SilenceMeter(silent bool) { t.w.meter.SetSilent(silent) }
+
+// SetDiscoveryDown implements model.FaultTarget.
+func (t faultTarget) SetDiscoveryDown(down bool) {
+	t.w.discoveryDown = down
+	t.w.discovery.SetDown(down)
+	for _, g := range t.w.gateways {
+		g.agent.wake()
+	}
+}
+
+// SilenceWatches implements model.FaultTarget. Where lists are pushed, the agents go on learning of changes.
+func (t faultTarget) SilenceWatches() {
+	if t.w.scenario.Discovery.Polled {
+		t.w.discovery.Silence()
+	}
+	for _, g := range t.w.gateways {
+		g.agent.silence()
+	}
+}
+
+// MoveDiscovery implements model.FaultTarget: each gateway gets a new configuration, and SIGHUP.
+func (t faultTarget) MoveDiscovery() {
+	if !t.w.startsGateways() {
+		return
+	}
+	for _, g := range t.w.gateways {
+		err := g.agent.migrate()
+		if err == nil {
+			err = g.writeConfig()
+		}
+		if err != nil {
+			t.w.logger.Error("moving discovery failed", "gateway", g.index, "err", err)
+			continue
+		}
+		if g.process != nil {
+			g.signal(syscall.SIGHUP)
+		}
+	}
+}
+
+// SetLateness implements model.FaultTarget.
+func (t faultTarget) SetLateness(factor float64) { t.w.discovery.SetLateness(factor) }
--- /dev/null
+++ b/internal/emulator/loopback/run.go
@@ -0,0 +1,100 @@
+package loopback
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"springfield/internal/emulator/model"
+)
+
+const (
+	// loadDelay is the time from the begin of Drive until the load begins.
+	loadDelay = 200 * time.Millisecond
+
+	// settleTime is how long after the last deadline a run may go on until all clients have their outcome.
+	settleTime = 10 * time.Second
+)
+
+// Run plays a scenario until its load is over and all of its requests are answered. If ctx ends before, it returns what
+// was done until then and the error of ctx. No gateway process is left when it returns.
+func Run(ctx context.Context, options Options) (Summary, error) {
+	w, err := Start(ctx, options)
+	if err != nil {
+		return Summary{}, err
+	}
+	defer w.Close()
+	return w.Drive(ctx)
+}
+
+// Drive plays the load and the faults of the scenario. It is called once. Gateways that are started by hand may become
+// ready while it waits for them.
+func (w *World) Drive(ctx context.Context) (Summary, error) {
+	if err := w.awaitReady(ctx, 0); err != nil {
+		return w.Summary(), err
+	}
+	begun := time.Now()
+	w.scheduler.Do(w.beginLoad)
+	limit := loadDelay + w.scenario.Length.Of() + w.longestDeadline() + settleTime
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-w.settled:
+	case <-timer.C:
+		err = ErrUnanswered
+	case <-ctx.Done():
+		err = errors.Join(ctx.Err(), context.Cause(ctx))
+	case <-w.ctx.Done(): // closed, or the context of Start has ended
+		err = context.Cause(w.ctx)
+	}
+	summary := w.Summary()
+	summary.LoadTime = time.Since(begun) - loadDelay
+	return summary, err
+}
+
+// Summary returns what has been done so far.
+func (w *World) Summary() Summary {
+	var summary Summary
+	w.scheduler.Do(func() { summary = w.summary })
+	return summary
+}
+
+// beginLoad schedules the faults and the first request.
+func (w *World) beginLoad() {
+	start := w.scheduler.Now() + loadDelay
+	w.workload = model.NewWorkload(w.scenario, w.options.Seed, start)
+	faults := rand.New(rand.NewPCG(w.options.Seed, streamFaults))
+	w.scheduler.After(loadDelay, func() {
+		model.ScheduleFaults(w.scenario, w.scheduler, faults, faultTarget{w}, w.options.Observer)
+	})
+	w.scheduleNextArrival()
+}
+
+// scheduleNextArrival schedules the next first try of a client, which schedules the one after it.
+func (w *World) scheduleNextArrival() {
+	arrival, ok := w.workload.Next()
+	if !ok {
+		w.loadEnded = true
+		w.checkSettled()
+		return
+	}
+	w.unsettled++
+	w.scheduler.After(arrival.At-w.scheduler.Now(), func() {
+		w.submit(arrival)
+		w.scheduleNextArrival()
+	})
+}
+
+// settle records that a client has its outcome and sends no further try.
+func (w *World) settle() {
+	w.unsettled--
+	w.checkSettled()
+}
+
+func (w *World) checkSettled() {
+	if w.loadEnded && w.unsettled == 0 {
+		close(w.settled)
+	}
+}
--- /dev/null
+++ b/internal/emulator/loopback/watch.go
@@ -0,0 +1,196 @@
+package loopback
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"springfield/internal/emulator/model"
+	"springfield/policy"
+)
+
+const (
+	instancesPath     = "/registry/instances"
+	keepAliveInterval = 2 * time.Second
+	watchBacklog      = 256 // updates that wait to be written; a watch that is slower ends
+)
+
+// update is a list to be written, or the news that the call has failed.
+type update struct {
+	failed  bool
+	full    bool
+	version uint64
+	list    []policy.Endpoint
+	message listMessage
+}
+
+// watch is one open watch of a gateway, or one call for the list. Its fields belong to the scheduler.
+type watch struct {
+	agent   *agent
+	updates chan update
+	silent  bool
+	ended   bool // it was too slow
+}
+
+// deliver queues an update; it is a model.Deliver.
+func (w *watch) deliver(kind policy.UpdateKind, version uint64, list []policy.Endpoint) {
+	if w.silent || w.ended {
+		return
+	}
+	next := update{
+		failed:  kind == policy.UpdateFailed,
+		full:    kind == policy.UpdateFull,
+		version: version,
+		list:    list,
+		message: newListMessage(version, kind == policy.UpdateFull, list, w.agent.world.endpointAddress),
+	}
+	select {
+	case w.updates <- next:
+	default:
+		w.ended = true
+		close(w.updates)
+	}
+}
+
+var _ model.Deliver = (*watch)(nil).deliver
+
+// serve answers a call at the address of the given generation.
+func (a *agent) serve(w http.ResponseWriter, r *http.Request, generation int) {
+	if r.Method != http.MethodGet || r.URL.Path != instancesPath {
+		http.NotFound(w, r)
+		return
+	}
+	isWatch := r.URL.Query().Get("watch") == "1"
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64) // 0 if there is none
+	opened, stop, ok := a.open(r, generation, isWatch, after)
+	if !ok {
+		return
+	}
+	defer stop()
+	if isWatch {
+		opened.serveWatch(w, r)
+	} else {
+		opened.serveList(w, r)
+	}
+}
+
+// open opens a watch once discovery can be reached at this address. It fails if the caller leaves before.
+func (a *agent) open(r *http.Request, generation int, isWatch bool, after uint64) (w *watch, stop func(), ok bool) {
+	for {
+		var changed <-chan struct{}
+		var detach func()
+		a.world.scheduler.Do(func() {
+			changed = a.changed
+			if a.answers(generation) {
+				w = &watch{agent: a, updates: make(chan update, watchBacklog)}
+				detach = a.attach(w, isWatch, after)
+			}
+		})
+		if w != nil {
+			return w, func() { a.world.scheduler.Do(detach) }, true
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return nil, nil, false
+		}
+	}
+}
+
+// answers reports whether a call at an address of the generation gets an answer.
+func (a *agent) answers(generation int) bool {
+	reachable := generation == a.generation && !a.world.discoveryDown
+	return reachable && (a.world.scenario.Discovery.Polled || a.version > 0)
+}
+
+// attach connects a watch to its source and returns what detaches it.
+func (a *agent) attach(w *watch, isWatch bool, after uint64) (detach func()) {
+	cancel := func() {}
+	if a.world.scenario.Discovery.Polled {
+		cancel = a.world.discovery.Watch(a.gateway, w.deliver)
+	} else {
+		if !isWatch || after != a.version {
+			w.deliver(policy.UpdateFull, a.version, a.list())
+		}
+		a.notifyDeferred()
+	}
+	a.watches = append(a.watches, w)
+	return func() {
+		cancel()
+		a.watches = slices.DeleteFunc(a.watches, func(other *watch) bool { return other == w })
+	}
+}
+
+// serveList writes the complete list.
+func (w *watch) serveList(response http.ResponseWriter, r *http.Request) {
+	select {
+	case list, ok := <-w.updates:
+		if !ok || list.failed {
+			http.Error(response, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		w.write(response, list)
+	case <-r.Context().Done():
+	}
+}
+
+// serveWatch writes each update in a line, and an empty line now and then, until the connection or the watch ends.
+func (w *watch) serveWatch(response http.ResponseWriter, r *http.Request) {
+	keepAlive := time.NewTicker(keepAliveInterval)
+	defer keepAlive.Stop()
+	flusher := http.NewResponseController(response)
+	if !w.agent.world.scenario.Discovery.Polled && flusher.Flush() != nil {
+		return // a pushed watch is open at once; a polled one may still fail
+	}
+	for {
+		select {
+		case next, ok := <-w.updates:
+			if !ok {
+				return
+			}
+			if next.failed {
+				http.Error(response, "busy", http.StatusServiceUnavailable)
+				return
+			}
+			if !w.write(response, next) {
+				return
+			}
+		case <-keepAlive.C:
+			if !w.writeKeepAlive(response) {
+				return
+			}
+		case <-r.Context().Done():
+			return
+		}
+		if flusher.Flush() != nil {
+			return
+		}
+	}
+}
+
+// write writes a list. Where lists are polled, the gateway then counts as notified of it.
+func (w *watch) write(response http.ResponseWriter, list update) bool {
+	line, err := list.message.encode()
+	if err != nil {
+		w.agent.world.logger.Error("encoding a list failed", "err", err)
+		return false
+	}
+	world := w.agent.world
+	if world.scenario.Discovery.Polled {
+		world.scheduler.Do(func() { world.notified(w.agent.gateway, list.list) })
+	}
+	_, err = response.Write(line)
+	return err == nil
+}
+
+// writeKeepAlive writes an empty line unless discovery is silent.
+func (w *watch) writeKeepAlive(response http.ResponseWriter) bool {
+	silent := false
+	w.agent.world.scheduler.Do(func() { silent = w.silent || w.agent.world.discoveryDown })
+	if silent {
+		return true
+	}
+	_, err := response.Write([]byte{'\n'})
+	return err == nil
+}
--- /dev/null
+++ b/internal/emulator/loopback/world.go
@@ -0,0 +1,251 @@
+package loopback
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/model"
+	"springfield/policy"
+)
+
+// Streams of the random numbers of a run, as in a virtual one. Those of the workload are its own.
+const (
+	streamServers uint64 = iota + 1
+	streamNetwork
+	streamMeter
+	streamDiscovery
+	streamFaults
+	streamGateways
+	streamAttempts
+)
+
+// cellsPerZone is the number of cells that the endpoints of a zone are divided into.
+const cellsPerZone = 4
+
+// World is a deployment on sockets: its endpoints, discovery, clients and gateway processes.
+type World struct {
+	options   Options
+	scenario  *emulator.Scenario
+	scheduler *emulator.WallScheduler
+	logger    *slog.Logger
+	subnet    subnet
+	ctx       context.Context // ends with the world; all of its goroutines look at it
+	cancel    context.CancelFunc
+	running   sync.WaitGroup // of all goroutines
+	launcher  *launcher
+
+	// What follows belongs to the scheduler.
+
+	network       *model.Network
+	meter         *model.Meter
+	discovery     *model.Discovery
+	workload      *model.Workload
+	serverRandom  *rand.Rand
+	gatewayRandom *rand.Rand
+	attemptRandom *rand.Rand
+
+	endpoints     []*endpoint // by id, from 1: endpoints[0] is that of id 1
+	gateways      []*gateway
+	requests      map[emulator.RequestKey]*request
+	discoveryDown bool
+	zoneCuts      []int // by zone: partitions that cut it off from the others now
+	resetShare    float64
+	spoiltShare   float64
+	lastObserved  time.Duration // the time of an observation is never before that of the one before
+
+	ready       chan struct{} // closed when all gateways have become ready for the first time
+	notReady    int           // gateways that have not
+	startFailed chan struct{} // gets something when a gateway ends before it was ready for the first time
+	clients     int           // requests that have a connection or open one
+	unsettled   int           // requests that their clients have sent or will send, and that have no final answer yet
+	loadEnded   bool          // there are no further first tries
+	settled     chan struct{} // closed when the load has ended and nothing is unsettled
+	summary     Summary
+}
+
+// Start starts the endpoints, discovery and, if the options name their program, the gateways, and waits until these are
+// ready. The caller ends the world with Close; it also ends with ctx.
+func Start(ctx context.Context, options Options) (*World, error) {
+	if err := model.Validate(&options.Scenario); err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	if err := checkLimits(&options.Scenario); err != nil {
+		return nil, err
+	}
+	w := newWorld(ctx, options)
+	if err := w.start(); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func newWorld(ctx context.Context, options Options) *World {
+	stream := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, number)) }
+	if options.Logger == nil {
+		options.Logger = slog.Default()
+	}
+	if options.Observer == nil {
+		options.Observer = emulator.Observers{}
+	}
+	w := &World{
+		options:       options,
+		scenario:      &options.Scenario,
+		scheduler:     emulator.NewWallScheduler(),
+		logger:        options.Logger,
+		subnet:        newSubnet(),
+		network:       model.NewNetwork(options.Scenario.Network, stream(streamNetwork)),
+		meter:         model.NewMeter(options.Scenario.Meter, stream(streamMeter)),
+		serverRandom:  stream(streamServers),
+		gatewayRandom: stream(streamGateways),
+		attemptRandom: stream(streamAttempts),
+		requests:      map[emulator.RequestKey]*request{},
+		zoneCuts:      make([]int, model.Zones(&options.Scenario)),
+		ready:         make(chan struct{}),
+		notReady:      options.Scenario.Gateways,
+		startFailed:   make(chan struct{}, options.Scenario.Gateways),
+		settled:       make(chan struct{}),
+	}
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	w.discovery = model.NewDiscovery(options.Scenario.Discovery, w.scheduler, stream(streamDiscovery))
+	w.discovery.OnOverdue = w.notified
+	w.launcher = newLauncher()
+	return w
+}
+
+// start opens all listeners, writes the configurations and starts the gateways.
+func (w *World) start() error {
+	addresses, err := w.subnet.reserve(gatewayHost, w.scenario.Gateways)
+	if err != nil {
+		return err
+	}
+	w.scheduler.Do(func() {
+		if err = w.openListeners(addresses); err != nil {
+			return
+		}
+		for _, g := range w.gateways {
+			if err = g.writeConfig(); err != nil {
+				return
+			}
+			if w.startsGateways() {
+				g.start()
+			} else {
+				g.awaitReadiness()
+			}
+		}
+	})
+	if err != nil || !w.startsGateways() {
+		return err
+	}
+	return w.awaitReady(w.ctx, readyTimeout)
+}
+
+func (w *World) openListeners(gatewayAddresses []string) error {
+	for number := range w.scenario.Endpoints.Count {
+		zone, cell := model.ZoneOf(w.scenario, number), number/model.Zones(w.scenario)%cellsPerZone
+		if err := w.addEndpoint(zone, cell, 0); err != nil {
+			return err
+		}
+	}
+	for number, address := range gatewayAddresses {
+		g, err := newGateway(w, number, address)
+		if err != nil {
+			return err
+		}
+		w.gateways = append(w.gateways, g)
+	}
+	return nil
+}
+
+// startsGateways reports whether the gateways are processes of this world.
+func (w *World) startsGateways() bool { return w.options.Gateway != "" }
+
+// awaitReady waits until all gateways have become ready for the first time. A timeout of 0 is none.
+func (w *World) awaitReady(ctx context.Context, timeout time.Duration) error {
+	var overdue <-chan time.Time
+	if timeout > 0 {
+		timer := time.NewTimer(timeout)
+		defer timer.Stop()
+		overdue = timer.C
+	}
+	select {
+	case <-w.ready:
+		return nil
+	case <-w.startFailed:
+		return fmt.Errorf("%w: one has ended; their logs are in %s", ErrNotReady, w.options.Directory)
+	case <-overdue:
+		return fmt.Errorf("%w; their logs are in %s", ErrNotReady, w.options.Directory)
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// Addresses returns where the parts of the deployment are reached.
+func (w *World) Addresses() Addresses {
+	var addresses Addresses
+	w.scheduler.Do(func() {
+		for _, g := range w.gateways {
+			addresses.Gateways = append(addresses.Gateways, GatewayAddress{
+				Listen:    g.address,
+				Discovery: g.agent.address,
+				Config:    g.configPath,
+				Log:       g.logPath,
+			})
+		}
+		for _, e := range w.endpoints {
+			addresses.Endpoints = append(addresses.Endpoints, e.address)
+		}
+	})
+	return addresses
+}
+
+// Close ends the gateway processes and closes all sockets. It returns once no goroutine of the world runs any more.
+func (w *World) Close() {
+	w.cancel()         // kills the processes, too
+	w.scheduler.Stop() // from here on the fields of the scheduler belong to this goroutine
+	for _, g := range w.gateways {
+		g.agent.close()
+		g.closeIdle()
+	}
+	for _, e := range w.endpoints {
+		e.closeListener()
+		for _, c := range e.connections {
+			reset(c.conn)
+		}
+	}
+	w.running.Wait()
+	w.launcher.close()
+}
+
+func (w *World) observe(observation emulator.Observation) {
+	w.lastObserved = max(w.lastObserved, w.scheduler.Now())
+	w.options.Observer.Observe(w.lastObserved, observation)
+}
+
+// notified makes a gateway count as notified of entries of the endpoint list.
+func (w *World) notified(gateway int, list []policy.Endpoint) {
+	w.gateways[gateway].notified(list)
+}
+
+// reachable reports whether packets between a gateway and an endpoint arrive.
+func (w *World) reachable(gateway int, e *endpoint) bool {
+	if e.cuts > 0 {
+		return false
+	}
+	zone := w.gateways[gateway].zone
+	return zone == e.zone || w.zoneCuts[zone] == 0 && w.zoneCuts[e.zone] == 0
+}
+
+// longestDeadline is that of all classes.
+func (w *World) longestDeadline() time.Duration {
+	var longest time.Duration
+	for i := range w.scenario.Classes {
+		longest = max(longest, w.scenario.Classes[i].Deadline.Of())
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/emulator/loopback/world_test.go
@@ -0,0 +1,164 @@
+package loopback
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"springfield/internal/emulator"
+)
+
+// No process is left once a world whose context has ended is closed.
+func TestProcessesEndWithTheContext(t *testing.T) {
+	opts, _ := options(t, scenario(time.Minute))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w, err := Start(ctx, opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var pids []int
+	w.scheduler.Do(func() {
+		for _, g := range w.gateways {
+			g.process.mu.Lock() // the process is running, and with it its id is known
+			pids = append(pids, g.process.command.Process.Pid)
+			g.process.mu.Unlock()
+		}
+	})
+	time.AfterFunc(time.Second, cancel)
+	if _, err := w.Drive(ctx); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	w.Close()
+	for _, pid := range pids {
+		if err := syscall.Kill(pid, 0); !errors.Is(err, syscall.ESRCH) {
+			t.Errorf("process %d: %v", pid, err)
+		}
+	}
+	if len(pids) != 2 {
+		t.Errorf("%d processes", len(pids))
+	}
+}
+
+// A program that is no gateway, or does not exist, is an error.
+func TestProgramThatIsNoGateway(t *testing.T) {
+	for _, program := range []string{"/bin/false", filepath.Join(t.TempDir(), "missing")} {
+		opts, o := options(t, scenario(time.Second))
+		opts.Gateway = program
+		opts.Logger = slog.New(slog.DiscardHandler)
+		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+		defer cancel()
+		w, err := Start(ctx, opts)
+		if err == nil {
+			w.Close()
+		}
+		if !errors.Is(err, ErrNotReady) || o.of("GatewayStarted") != 0 {
+			t.Errorf("%s: got %v", program, err)
+		}
+	}
+}
+
+// Gateways that are started by hand with the configurations of the directory are driven like others.
+func TestGatewaysStartedByHand(t *testing.T) {
+	opts, o := options(t, scenario(time.Second))
+	opts.Gateway = ""
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	w, err := Start(ctx, opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	for _, address := range w.Addresses().Gateways {
+		command := exec.CommandContext(ctx, gatewayProgram)
+		command.Env = append(gatewayEnvironment(os.Environ()), configVariable+"="+address.Config)
+		if err := command.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = command.Wait() }() // it is killed
+	}
+	defer cancel()
+	if o.summary, err = w.Drive(ctx); err != nil {
+		t.Fatal(err)
+	}
+	o.wantKept(t)
+	if o.of("answer 1") == 0 || o.summary.GatewayStarts != 0 {
+		t.Errorf("%+v %v", o.summary, o.seen)
+	}
+}
+
+// A gateway that makes answers up and sends requests that no client has sent is found out.
+func TestGatewayThatMakesThingsUpIsFoundOut(t *testing.T) {
+	s := scenario(time.Second)
+	s.Gateways = 1
+	opts, o := options(t, s)
+	opts.Gateway = ""
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	w, err := Start(ctx, opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	addresses := w.Addresses()
+	listener, err := net.Listen("tcp4", addresses.Gateways[0].Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(response http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/health/") {
+			return
+		}
+		forged, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addresses.Endpoints[0]+r.URL.Path+"0", nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		forged.Header.Set(requestIDHeader, r.Header.Get(requestIDHeader))
+		got, err := http.DefaultClient.Do(forged)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if got.StatusCode != http.StatusBadRequest {
+			t.Errorf("the endpoint answered %s", got.Status)
+		}
+		_ = got.Body.Close()                           // it is empty
+		_, _ = io.WriteString(response, "I made this") // the client may have left
+	})}
+	go func() { _ = server.Serve(listener) }() // it is closed below
+	defer func() { _ = server.Close() }()
+	if o.summary, err = w.Drive(ctx); err != nil {
+		t.Fatal(err)
+	}
+	served := o.of("answer 1")
+	if served == 0 || o.of("not genuine") != served || o.summary.UnknownRequests != int64(served) {
+		t.Errorf("%+v %v", o.summary, o.seen)
+	}
+	if o.checker.Finish(o.last).Kept() {
+		t.Error("the checker found nothing")
+	}
+}
+
+// A scenario that is too large for sockets, or invalid, is refused before anything is started.
+func TestScenariosThatAreRefused(t *testing.T) {
+	large := scenario(time.Second)
+	large.Gateways = maxGateways + 1
+	var limit *LimitError
+	if _, err := Start(t.Context(), Options{Scenario: large}); !errors.As(err, &limit) || limit.Name != "gateways" {
+		t.Errorf("got %v", err)
+	}
+	if _, err := Start(t.Context(), Options{Scenario: emulator.Scenario{}}); err == nil {
+		t.Error("an empty scenario was accepted")
+	}
+}
