--- /dev/null
+++ b/internal/experiment/loopback.go
@@ -0,0 +1,145 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/invariant"
+	"springfield/internal/emulator/loopback"
+	"springfield/internal/measure"
+)
+
+// LoopbackOptions say how the gateway processes of loopback runs are started. Virtual runs need none of them.
+type LoopbackOptions struct {
+	Gateway     string       // path of the gateway's program
+	GatewayArgs []string     // its arguments, none as a rule
+	Directory   string       // for configurations and logs; "": a temporary directory, removed after each run
+	Logger      *slog.Logger // nil: slog.Default()
+}
+
+// ErrNoGateway is returned for a loopback run without the path of a gateway program.
+var ErrNoGateway = errors.New("no gateway program is given")
+
+const directoryMode = 0o755
+
+// ProcessError is returned for a loopback run in which gateway processes failed in a way that no rule covers.
+type ProcessError struct {
+	Crashes         int
+	NotReady        int
+	UnknownRequests int64 // sent to endpoints by no client
+}
+
+// Error counts the failures.
+func (e *ProcessError) Error() string {
+	return fmt.Sprintf("%d gateway processes crashed, %d were not ready in time, %d unknown requests reached endpoints",
+		e.Crashes, e.NotReady, e.UnknownRequests)
+}
+
+// newLoopbackWorld returns the World of gateway processes on sockets.
+func newLoopbackWorld(options LoopbackOptions) World {
+	return func(ctx context.Context, run Run) (result measure.Result, report invariant.Report, err error) {
+		if run.Decider != Springfield {
+			return result, report, &UnknownDeciderError{Name: run.Decider}
+		}
+		if options.Gateway == "" {
+			return result, report, ErrNoGateway
+		}
+		directory, remove, err := runDirectory(options.Directory, run)
+		if err != nil {
+			return result, report, err
+		}
+		defer remove()
+		recorder := &loadRecorder{scenario: &run.Scenario}
+		checker := invariant.NewChecker(&run.Scenario, invariant.WithSlack(invariant.SocketSlack))
+		summary, runErr := loopback.Run(ctx, loopback.Options{
+			Scenario:    run.Scenario,
+			Seed:        run.Seed,
+			Gateway:     options.Gateway,
+			GatewayArgs: options.GatewayArgs,
+			Directory:   directory,
+			Observer:    emulator.Observers{recorder, checker},
+			Logger:      options.Logger,
+		})
+		end := time.Duration(time.Now().UnixNano())
+		result, report = recorder.result(end), checker.Finish(end)
+		return result, report, loopbackError(&summary, report, runErr)
+	}
+}
+
+// loopbackError returns why a run has no valid result. Requests that are never answered are a result, as the report
+// shows that they broke a rule.
+func loopbackError(summary *loopback.Summary, report invariant.Report, err error) error {
+	switch {
+	case summary.GatewayCrashes > 0 || summary.ReadinessTimeouts > 0 || summary.UnknownRequests > 0:
+		failure := &ProcessError{Crashes: summary.GatewayCrashes, NotReady: summary.ReadinessTimeouts,
+			UnknownRequests: summary.UnknownRequests}
+		return errors.Join(failure, err)
+	case errors.Is(err, loopback.ErrUnanswered) && !report.Kept():
+		return nil
+	default:
+		return err
+	}
+}
+
+// runDirectory makes the directory of a run and returns a function that removes it if nobody has asked for it.
+func runDirectory(parent string, run Run) (directory string, remove func(), err error) {
+	if parent != "" {
+		name := fmt.Sprintf("%s-size%g-seed%d", run.Scenario.Name, run.Size, run.Seed)
+		directory = filepath.Join(parent, name)
+		return directory, func() {}, os.MkdirAll(directory, directoryMode)
+	}
+	directory, err = os.MkdirTemp("", "springfield-experiment-")
+	return directory, func() { _ = os.RemoveAll(directory) }, err // what is left over lies in the temporary directory
+}
+
+// loadRecorder is a measure.Recorder that begins with the load, whose time is not known before: the gateways have to
+// become ready first. What was observed until then counts as observed at the begin of the load.
+type loadRecorder struct {
+	scenario *emulator.Scenario
+	recorder *measure.Recorder // nil until the load has begun
+	earlier  []emulator.Observation
+}
+
+// Observe implements emulator.Observer.
+func (l *loadRecorder) Observe(at time.Duration, observation emulator.Observation) {
+	if l.recorder == nil {
+		if !beginsLoad(observation) {
+			l.earlier = append(l.earlier, observation)
+			return
+		}
+		l.begin(at)
+	}
+	l.recorder.Observe(at, observation)
+}
+
+// beginsLoad tells whether an observation is made only once the load has begun.
+func beginsLoad(observation emulator.Observation) bool {
+	switch observation.(type) {
+	case emulator.RequestSubmitted, emulator.FaultChanged:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *loadRecorder) begin(at time.Duration) {
+	l.recorder = measure.NewRecorder(l.scenario, at)
+	for _, observation := range l.earlier {
+		l.recorder.Observe(at, observation)
+	}
+	l.earlier = nil
+}
+
+// result returns the figures of the run. A run without any load has begun when it ended.
+func (l *loadRecorder) result(end time.Duration) measure.Result {
+	if l.recorder == nil {
+		l.begin(end)
+	}
+	return l.recorder.Result(end)
+}
--- /dev/null
+++ b/internal/experiment/student.go
@@ -0,0 +1,102 @@
+package experiment
+
+import "math"
+
+// confidence is the level of the intervals that compare versions.
+const confidence = 0.95
+
+// Precision of the numerical functions of this file.
+const (
+	fractionTolerance = 1e-14
+	fractionTerms     = 500
+	bisectionSteps    = 200
+	smallestFactor    = 1e-300
+)
+
+// Interval is the mean of a sample with its confidence interval by Student's t distribution.
+type Interval struct {
+	Mean, Low, High float64
+}
+
+// meanInterval returns the interval of a sample of two values at least.
+func meanInterval(sample []float64) Interval {
+	count := float64(len(sample))
+	var sum float64
+	for _, value := range sample {
+		sum += value
+	}
+	mean := sum / count
+	var squares float64
+	for _, value := range sample {
+		squares += (value - mean) * (value - mean)
+	}
+	standardError := math.Sqrt(squares / (count - 1) / count)
+	margin := studentQuantile((1+confidence)/2, count-1) * standardError
+	return Interval{Mean: mean, Low: mean - margin, High: mean + margin}
+}
+
+// studentQuantile returns the value below which Student's t distribution has the given probability, from 0.5 to
+// under 1.
+func studentQuantile(probability, degrees float64) float64 {
+	low, high := 0.0, 1.0
+	for studentCDF(high, degrees) < probability {
+		high *= 2
+	}
+	for range bisectionSteps {
+		middle := (low + high) / 2
+		if studentCDF(middle, degrees) < probability {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return (low + high) / 2
+}
+
+// studentCDF returns the probability of a value of at most t, for t from 0.
+func studentCDF(t, degrees float64) float64 {
+	return 1 - incompleteBeta(degrees/(degrees+t*t), degrees/2, 0.5)/2
+}
+
+// incompleteBeta returns the regularized incomplete beta function.
+func incompleteBeta(x, a, b float64) float64 {
+	if x <= 0 || x >= 1 {
+		return min(max(x, 0), 1)
+	}
+	logA, _ := math.Lgamma(a)
+	logB, _ := math.Lgamma(b)
+	logSum, _ := math.Lgamma(a + b)
+	front := math.Exp(logSum - logA - logB + a*math.Log(x) + b*math.Log1p(-x))
+	if x < (a+1)/(a+b+2) { // where the continued fraction converges fast
+		return front * betaFraction(x, a, b) / a
+	}
+	return 1 - front*betaFraction(1-x, b, a)/b
+}
+
+// betaFraction evaluates the continued fraction of the incomplete beta function by Lentz's method.
+func betaFraction(x, a, b float64) float64 {
+	numerator, denominator := 1.0, 1/awayFromZero(1-(a+b)*x/(a+1))
+	result := denominator
+	for term := 1.0; term <= fractionTerms; term++ {
+		even := term * (b - term) * x / ((a + 2*term - 1) * (a + 2*term))
+		odd := -(a + term) * (a + b + term) * x / ((a + 2*term) * (a + 2*term + 1))
+		change := 1.0
+		for _, coefficient := range []float64{even, odd} {
+			denominator = 1 / awayFromZero(1+coefficient*denominator)
+			numerator = awayFromZero(1 + coefficient/numerator)
+			change = denominator * numerator
+			result *= change
+		}
+		if math.Abs(change-1) < fractionTolerance {
+			break
+		}
+	}
+	return result
+}
+
+func awayFromZero(value float64) float64 {
+	if math.Abs(value) < smallestFactor {
+		return smallestFactor
+	}
+	return value
+}
--- /dev/null
+++ b/internal/experiment/world.go
@@ -0,0 +1,61 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+
+	"springfield/internal/baseline"
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/invariant"
+	"springfield/internal/emulator/virtual"
+	"springfield/internal/measure"
+)
+
+// UnknownDeciderError is returned for a run whose decider no package provides.
+type UnknownDeciderError struct{ Name string }
+
+// Error names the decider.
+func (e *UnknownDeciderError) Error() string { return fmt.Sprintf("there is no decider %q", e.Name) }
+
+// NewWorld returns the world of both forms.
+func NewWorld(options LoopbackOptions) World {
+	loopbackWorld := newLoopbackWorld(options)
+	return func(ctx context.Context, run Run) (measure.Result, invariant.Report, error) {
+		if run.Form == FormLoopback {
+			return loopbackWorld(ctx, run)
+		}
+		return runVirtual(ctx, run)
+	}
+}
+
+// runVirtual is the World of virtual time.
+func runVirtual(ctx context.Context, run Run) (measure.Result, invariant.Report, error) {
+	newDecider, err := deciderByName(run.Decider)
+	if err != nil {
+		return measure.Result{}, invariant.Report{}, err
+	}
+	recorder := measure.NewRecorder(&run.Scenario, virtual.StartTime)
+	checker := invariant.NewChecker(&run.Scenario)
+	summary, err := virtual.Run(ctx, virtual.Options{
+		Scenario:   run.Scenario,
+		Seed:       run.Seed,
+		NewDecider: checker.ObserveLists(newDecider),
+		Observer:   emulator.Observers{recorder, checker},
+	})
+	if err != nil {
+		return measure.Result{}, invariant.Report{}, err
+	}
+	end := virtual.StartTime + summary.VirtualTime
+	return recorder.Result(end), checker.Finish(end), nil
+}
+
+func deciderByName(name string) (emulator.NewDecider, error) {
+	if name == Springfield {
+		return virtual.PolicyDecider, nil
+	}
+	newDecider, ok := baseline.ByName(name)
+	if !ok {
+		return nil, &UnknownDeciderError{Name: name}
+	}
+	return newDecider, nil
+}
