Add the command line of the lab: demo, experiment, report, emulate, config check

Cause: nobody could start this gateway without the operators' kit, or learn what is wrong with a configuration.

--- /dev/null
+++ b/cmd/springfield/completion/bash.go
@@ -0,0 +1,108 @@
+package completion
+
+import "strings"
+
+// writeBash writes a function that finds the command among the words before the cursor, and then offers what may
+// follow there.
+func writeBash(s *script, root *command) {
+	name := function(root.name, nil)
+	s.line("# bash completion for %s", root.name)
+	s.line("")
+	s.line("%s_words() { mapfile -t COMPREPLY < <(compgen -W \"$1\" -- \"$current\"); }", name)
+	s.line("")
+	s.line("%s_files() {", name)
+	s.line("    compopt -o filenames 2>/dev/null")
+	s.line("    mapfile -t COMPREPLY < <(compgen \"$1\" -- \"$current\")")
+	s.line("}")
+	s.line("")
+	writeBashWalk(s, root, name)
+	s.line("%s() {", name)
+	s.line("    local current=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD - 1]} command")
+	s.line("    COMPREPLY=()")
+	s.line("    if [[ $current == = ]]; then")
+	s.line("        current=")
+	s.line("    elif [[ $previous == = ]]; then")
+	s.line("        previous=${COMP_WORDS[COMP_CWORD - 2]}")
+	s.line("    fi")
+	s.line("    command=$(%s_command \"${COMP_WORDS[@]:1:COMP_CWORD - 1}\")", name)
+	writeBashFlagValues(s, root, name)
+	writeBashCommands(s, root, name)
+	s.line("}")
+	s.line("")
+	s.line("complete -F %s %s", name, root.name)
+}
+
+// writeBashWalk writes a function that prints the command that words lead to.
+func writeBashWalk(s *script, root *command, name string) {
+	s.line("%s_command() {", name)
+	s.line("    local command= word")
+	s.line("    for word; do")
+	s.line("        case \"$command $word\" in")
+	root.each(func(c *command) {
+		if len(c.path) > 0 {
+			parent := strings.Join(c.path[:len(c.path)-1], " ")
+			s.line("        %s) command=%s ;;", quote(parent+" "+c.name), quote(c.pathText()))
+		}
+	})
+	s.line("        esac")
+	s.line("    done")
+	s.line("    printf '%%s' \"$command\"")
+	s.line("}")
+	s.line("")
+}
+
+// writeBashFlagValues offers the values of the flag before the cursor.
+func writeBashFlagValues(s *script, root *command, name string) {
+	s.line("    case \"$command $previous\" in")
+	root.each(func(c *command) {
+		for i := range c.flags {
+			f := &c.flags[i]
+			if f.bool {
+				continue
+			}
+			patterns := f.forms()
+			for j, form := range patterns {
+				patterns[j] = quote(c.pathText() + " " + form)
+			}
+			s.line("    %s)", strings.Join(patterns, " | "))
+			writeBashValue(s, &f.value, name)
+			s.line("        return")
+			s.line("        ;;")
+		}
+	})
+	s.line("    esac")
+}
+
+// writeBashCommands offers flags, commands and arguments.
+func writeBashCommands(s *script, root *command, name string) {
+	s.line("    case \"$command\" in")
+	root.each(func(c *command) {
+		s.line("    %s)", quote(c.pathText()))
+		s.line("        if [[ $current == -* ]]; then")
+		var flags []string
+		for i := range c.flags {
+			flags = append(flags, c.flags[i].forms()...)
+		}
+		s.line("            %s_words %s", name, quote(strings.Join(flags, " ")))
+		s.line("            return")
+		s.line("        fi")
+		if len(c.children) > 0 {
+			s.line("        %s_words %s", name, quote(strings.Join(c.childNames(), " ")))
+		} else if len(c.arguments) > 0 {
+			writeBashValue(s, &c.arguments[0], name)
+		}
+		s.line("        ;;")
+	})
+	s.line("    esac")
+}
+
+func writeBashValue(s *script, v *value, name string) {
+	switch {
+	case len(v.choices) > 0:
+		s.line("        %s_words %s", name, quote(strings.Join(v.choices, " ")))
+	case v.files == anyFiles:
+		s.line("        %s_files -f", name)
+	case v.files == directories:
+		s.line("        %s_files -d", name)
+	}
+}
--- /dev/null
+++ b/cmd/springfield/completion/zsh.go
@@ -0,0 +1,103 @@
+package completion
+
+import (
+	"fmt"
+	"strings"
+)
+
+// writeZsh writes a function for each command, which leaves the words after a subcommand to that one's function.
+func writeZsh(s *script, root *command) {
+	s.line("#compdef %s", root.name)
+	s.line("")
+	root.each(func(c *command) {
+		s.line("%s() {", function(root.name, c.path))
+		if len(c.children) > 0 {
+			writeZshParent(s, root.name, c)
+		} else {
+			writeZshLeaf(s, c)
+		}
+		s.line("}")
+		s.line("")
+	})
+	name := function(root.name, nil)
+	s.line("if [[ $funcstack[1] == %s ]]; then", name)
+	s.line("    %s \"$@\"", name)
+	s.line("else")
+	s.line("    compdef %s %s", name, root.name)
+	s.line("fi")
+}
+
+func writeZshParent(s *script, program string, c *command) {
+	s.line("    local state line")
+	s.line("    local -a commands")
+	s.line("    commands=(")
+	for _, child := range c.children {
+		s.line("        %s", quote(escapeColons(child.name)+":"+child.help))
+	}
+	s.line("    )")
+	s.line("    _arguments -C \\")
+	for i := range c.flags {
+		s.line("        %s \\", zshFlag(&c.flags[i]))
+	}
+	s.line("        '1: :->command' \\")
+	s.line("        '*:: :->words'")
+	s.line("    case $state in")
+	s.line("    command) _describe command commands ;;")
+	s.line("    words)")
+	s.line("        case $line[1] in")
+	for _, child := range c.children {
+		s.line("        %s) %s ;;", child.name, function(program, child.path))
+	}
+	s.line("        esac")
+	s.line("        ;;")
+	s.line("    esac")
+}
+
+func writeZshLeaf(s *script, c *command) {
+	specs := make([]string, 0, len(c.flags)+len(c.arguments))
+	for i := range c.flags {
+		specs = append(specs, zshFlag(&c.flags[i]))
+	}
+	for i := range c.arguments {
+		position := fmt.Sprint(i + 1)
+		if c.arguments[i].repeats {
+			position = "*"
+		}
+		specs = append(specs, quote(position+":"+zshValue(&c.arguments[i])))
+	}
+	s.line("    _arguments %s", strings.Join(specs, " \\\n        "))
+}
+
+// zshFlag returns the specification of a flag for _arguments.
+func zshFlag(f *flag) string {
+	text := "[" + strings.NewReplacer("[", `\[`, "]", `\]`).Replace(f.help) + "]"
+	if !f.bool {
+		text += ":" + zshValue(&f.value)
+	}
+	long := "--" + f.name
+	if !f.bool {
+		long += "="
+	}
+	if f.short == "" {
+		return quote(long + text)
+	}
+	short := "-" + f.short
+	return quote(fmt.Sprintf("(%s --%s)", short, f.name)) + "{" + quote(short) + "," + quote(long) + "}" + quote(text)
+}
+
+// zshValue returns the message and the action of a specification.
+func zshValue(v *value) string {
+	message := escapeColons(v.name) + ":"
+	switch {
+	case len(v.choices) > 0:
+		return message + "(" + strings.Join(v.choices, " ") + ")"
+	case v.files == anyFiles:
+		return message + "_files"
+	case v.files == directories:
+		return message + "_files -/"
+	default:
+		return message + " "
+	}
+}
+
+func escapeColons(text string) string { return strings.ReplaceAll(text, ":", `\:`) }
--- /dev/null
+++ b/cmd/springfield/config.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"springfield/internal/configcheck"
+)
+
+type configCommand struct {
+	Check configCheckCommand `cmd:"" help:"Show everything that is wrong with a gateway's configuration file."`
+}
+
+type configCheckCommand struct {
+	File string `arg:"" type:"path" placeholder:"FILE" help:"Configuration file, as RELAY_CONFIG names it."`
+}
+
+// Help describes the output.
+func (*configCheckCommand) Help() string {
+	return `Each problem is a line on standard output: file, line, severity, JSON path and reason. An error is a value that
+the gateway cannot use; with one, the exit status is 2. With warnings alone it is 0. The environment variables that
+precede the file at the start of a gateway are left out, as they are when it is reloaded.
+
+Example:
+
+    springfield config check /run/balancer/config.json`
+}
+
+// Run prints the problems of the file.
+func (c *configCheckCommand) Run(env *environment) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return &inputError{err}
+	}
+	problems := configcheck.Check(text)
+	for _, problem := range problems {
+		if _, err := fmt.Fprintf(env.stdout, "%s:%d: %v: %v\n", c.File, problem.Line, problem.Severity, problem); err != nil {
+			return err
+		}
+	}
+	failures := configcheck.Count(problems, configcheck.Error)
+	warnings := configcheck.Count(problems, configcheck.Warning)
+	if failures > 0 {
+		return inputErrorf("%s cannot be used: %s, %s", c.File, plural(failures, "error"), plural(warnings, "warning"))
+	}
+	_, err = fmt.Fprintf(env.stdout, "%s can be used: %s\n", c.File, plural(warnings, "warning"))
+	return err
+}
+
+// plural returns a count with its noun.
+func plural(count int, noun string) string {
+	if count == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", count, noun)
+}
--- /dev/null
+++ b/cmd/springfield/demo.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/model"
+	"springfield/internal/experiment"
+	"springfield/internal/report"
+)
+
+const (
+	demoName = "demo"
+
+	// demoLimit ends a demo that takes longer than it should.
+	demoLimit = 40 * time.Second
+
+	// faultBegin and faultLength place the demo's fault in its load.
+	faultBegin  = 0.3
+	faultLength = 0.2
+
+	maxDemoLength = 20 * time.Second
+	minDemoLength = time.Second
+
+	directoryMode = 0o755
+	fileMode      = 0o644
+
+	reportFile  = "report.html"
+	resultsFile = "results.jsonl"
+)
+
+var errDemoTooLong = fmt.Errorf("it took over %v", demoLimit)
+
+type demoCommand struct {
+	Output  string        `short:"o" type:"path" placeholder:"DIR" help:"Directory for a report, results and logs."`
+	Seed    uint64        `default:"1" help:"Seed of the random numbers of clients and endpoints."`
+	Length  time.Duration `default:"20s" help:"Length of the load, from 1s to 20s."`
+	Gateway string        `type:"path" placeholder:"PROGRAM" help:"${gateway_help}"`
+}
+
+// Help describes the deployment.
+func (*demoCommand) Help() string {
+	return `Three gateway processes serve clients in front of eight endpoints, over sockets of this machine. One endpoint
+crashes during the load, and comes back with a small part of its capacity. The demo takes under 45 s.
+
+Examples:
+
+    springfield demo
+    springfield demo --output out && xdg-open out/report.html`
+}
+
+// Run runs the deployment and prints a table of what was served.
+func (c *demoCommand) Run(ctx context.Context, env *environment) error {
+	if c.Length < minDemoLength || c.Length > maxDemoLength {
+		return inputErrorf("--length is %v, want %v to %v", c.Length, minDemoLength, maxDemoLength)
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, demoLimit, errDemoTooLong)
+	defer cancel()
+	program, arguments, err := gatewayProgram(c.Gateway)
+	if err != nil {
+		return err
+	}
+	directory, remove, err := outputDirectory(c.Output)
+	if err != nil {
+		return err
+	}
+	defer remove()
+	run := deployment{name: demoName, scenario: demoScenario(c.Length), seed: c.Seed, gateway: program,
+		gatewayArgs: arguments, directory: directory}
+	record, err := run.run(ctx, env.stderr)
+	if record == nil {
+		return err
+	}
+	return errors.Join(err, writeRecord(env.stdout, record), c.writeFiles(env, record), brokenRules(record))
+}
+
+// demoScenario is the default deployment with an endpoint that crashes and starts again.
+func demoScenario(length time.Duration) emulator.Scenario {
+	scenario := model.DefaultScenario()
+	scenario.Name = demoName
+	scenario.Length = emulator.Duration(length)
+	scenario.Faults = []emulator.Fault{{
+		Kind:   emulator.FaultStopEndpoints,
+		At:     emulator.Duration(faultBegin * float64(length)),
+		Length: emulator.Duration(faultLength * float64(length)),
+		Share:  1 / float64(scenario.Endpoints.Count),
+	}}
+	return scenario
+}
+
+// outputDirectory makes the directory, or a temporary one that the function removes.
+func outputDirectory(path string) (directory string, remove func(), err error) {
+	if path != "" {
+		if err := os.MkdirAll(path, directoryMode); err != nil {
+			return "", nil, &inputError{err}
+		}
+		return path, func() {}, nil
+	}
+	directory, err = os.MkdirTemp("", programName+"-")
+	return directory, func() { _ = os.RemoveAll(directory) }, err // what is left over lies in the temporary directory
+}
+
+// writeFiles writes the report and the results if a directory for them was named.
+func (c *demoCommand) writeFiles(env *environment, record *experiment.Record) error {
+	if c.Output == "" {
+		return nil
+	}
+	page := filepath.Join(c.Output, reportFile)
+	if err := writePage(page, []report.Named{{Name: demoName, Result: record.Result}}); err != nil {
+		return err
+	}
+	if err := writeResults(filepath.Join(c.Output, resultsFile), []experiment.Record{*record}); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(env.stdout, "report: %s\n", page)
+	return err
+}
--- /dev/null
+++ b/cmd/springfield/demo_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"springfield/internal/emulator"
+	"springfield/internal/testkit"
+)
+
+// The gateways of the demo are processes of the test binary, as those of "go run" are of the program.
+func TestDemoServesAndKeepsTheRules(t *testing.T) {
+	directory := filepath.Join(t.TempDir(), "out")
+	got := expect(t, statusSuccess, "demo", "--length", "2s", "--output", directory)
+	wantText(t, got.stdout, "served", "rejected", "failed", "p50", "p99", "over quota", "plan basic", "class search",
+		"rules kept: yes")
+	for _, name := range []string{reportFile, resultsFile, "gateway-0.log"} {
+		if info, err := os.Stat(filepath.Join(directory, name)); err != nil || info.Size() == 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	records, err := readResults(filepath.Join(directory, resultsFile))
+	if err != nil || len(records) != 1 {
+		t.Fatalf("%d records, error %v", len(records), err)
+	}
+	result := &records[0].Result
+	if result.Requests.Served.Count == 0 || len(result.Faults) != 1 || result.Gateways != 3 || result.Endpoints != 8 {
+		t.Errorf("the result is %+v", result)
+	}
+	page := filepath.Join(directory, "again.html")
+	got = expect(t, statusSuccess, "report", filepath.Join(directory, resultsFile), "-o", page)
+	wantText(t, got.stdout, page+": 1 result")
+}
+
+// cancelling ends a run once some requests were served.
+type cancelling struct {
+	cancel func()
+	served int
+}
+
+func (c *cancelling) Observe(_ time.Duration, observation emulator.Observation) {
+	const enough = 20
+	if answered, ok := observation.(emulator.RequestAnswered); ok && answered.Answer == emulator.AnswerServed {
+		c.served++
+	}
+	if c.served == enough {
+		c.cancel()
+	}
+}
+
+func TestInterruptedRunKeepsWhatItMeasured(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	program, arguments, err := gatewayProgram("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	interrupted := deployment{name: "test", scenario: demoScenario(maxDemoLength), gateway: program,
+		gatewayArgs: arguments, directory: t.TempDir(), observer: &cancelling{cancel: cancel}}
+	record, err := interrupted.run(ctx, io.Discard)
+	var early *interruptedError
+	if !errors.As(err, &early) || !errors.Is(err, context.Canceled) {
+		t.Errorf("the error is %v, want an interrupt", err)
+	}
+	if record == nil || record.Result.Requests.Served.Count < 20 || !record.Rules.Kept() {
+		t.Fatalf("the record is %+v", record)
+	}
+	if record.Result.LengthSeconds >= maxDemoLength.Seconds() {
+		t.Errorf("it took %g s", record.Result.LengthSeconds)
+	}
+}
+
+func TestInterruptEndsTheDemoAndItsGateways(t *testing.T) {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	directory := t.TempDir()
+	command := exec.Command(program, "demo", "--output", directory)
+	command.Env = append(os.Environ(), programVariable+"=1")
+	var stderr bytes.Buffer
+	command.Stderr = &stderr
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = command.Process.Kill() }() // it has ended unless the test fails
+	testkit.Eventually(t, "a gateway that listens", func() bool {
+		log, err := os.ReadFile(filepath.Join(directory, "gateway-0.log"))
+		return err == nil && bytes.Contains(log, []byte("msg=listening"))
+	})
+	if err := command.Process.Signal(os.Interrupt); err != nil {
+		t.Fatal(err)
+	}
+	err = command.Wait()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != statusFailure {
+		t.Errorf("it ends with %v, want status %d", err, statusFailure)
+	}
+	if !isOneLine(stderr.String()) {
+		t.Errorf("standard error is %q, want one line", stderr.String())
+	}
+}
--- /dev/null
+++ b/cmd/springfield/dependencies_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// gatewayPackages are all packages that the gateway may link besides the standard library.
+var gatewayPackages = []string{
+	"springfield/cmd/gateway",
+	"springfield/internal/clock",
+	"springfield/internal/config",
+	"springfield/internal/discovery",
+	"springfield/internal/eventloop",
+	"springfield/internal/frontend",
+	"springfield/internal/gateway",
+	"springfield/internal/settings",
+	"springfield/internal/upstream",
+	"springfield/policy",
+}
+
+func TestGatewayLinksNothingOfTheLaboratory(t *testing.T) {
+	const format = "{{if not .Standard}}{{.ImportPath}}{{end}}"
+	list := exec.Command("go", "list", "-deps", "-f", format, "springfield/cmd/gateway")
+	output, err := list.Output()
+	if err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	linked := strings.Fields(string(output))
+	for _, path := range linked {
+		if !slices.Contains(gatewayPackages, path) {
+			t.Errorf("the gateway links %s", path)
+		}
+	}
+	if len(linked) != len(gatewayPackages) {
+		t.Errorf("it links %d packages, want %d", len(linked), len(gatewayPackages))
+	}
+}
--- /dev/null
+++ b/cmd/springfield/emulate.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"springfield/internal/emulator"
+	"springfield/internal/emulator/loopback"
+	"springfield/internal/emulator/model"
+	"springfield/internal/experiment"
+)
+
+const emulationName = "emulation"
+
+type emulateCommand struct {
+	File      string `arg:"" optional:"" type:"existingfile" placeholder:"FILE" help:"${emulate_file_help}"`
+	Seed      uint64 `default:"1" help:"Seed of the random numbers of clients and endpoints."`
+	Directory string `type:"path" placeholder:"DIR" help:"Directory for configurations of gateways (a temporary one)."`
+	Results   string `type:"path" placeholder:"FILE" help:"Also write the results as JSON."`
+}
+
+// Help tells how gateways are started.
+func (*emulateCommand) Help() string {
+	return `Endpoints, discovery and clients run in this process. It writes a configuration for each gateway, prints how to
+start them, and begins with the load once all of them are ready. An interrupt ends it and shows what was measured.
+
+Examples:
+
+    springfield emulate
+    springfield emulate experiments/sockets.toml --directory run`
+}
+
+// Run emulates the deployment until its load is over or it is interrupted.
+func (c *emulateCommand) Run(ctx context.Context, env *environment) error {
+	scenario, err := c.scenario()
+	if err != nil {
+		return err
+	}
+	directory, remove, err := outputDirectory(c.Directory)
+	if err != nil {
+		return err
+	}
+	defer remove()
+	run := deployment{name: emulationName, scenario: scenario, seed: c.Seed, directory: directory,
+		started: func(addresses loopback.Addresses) error { return writeStartCommands(env, addresses) }}
+	record, err := run.run(ctx, env.stderr)
+	if record == nil {
+		return err
+	}
+	errs := []error{err, writeRecord(env.stdout, record), brokenRules(record)}
+	if c.Results != "" {
+		errs = append(errs, writeResults(c.Results, []experiment.Record{*record}))
+	}
+	return errors.Join(errs...)
+}
+
+func (c *emulateCommand) scenario() (emulator.Scenario, error) {
+	if c.File == "" {
+		return model.DefaultScenario(), nil
+	}
+	loaded, err := experiment.Load(c.File)
+	if err != nil {
+		return emulator.Scenario{}, &inputError{err}
+	}
+	return loaded.Scenario, nil
+}
+
+// writeStartCommands prints a command for each gateway that is to be started.
+func writeStartCommands(env *environment, addresses loopback.Addresses) error {
+	if _, err := fmt.Fprintf(env.stdout, "%s ready. Start each gateway, in a shell of its own:\n",
+		plural(len(addresses.Endpoints), "endpoint")); err != nil {
+		return err
+	}
+	for _, gateway := range addresses.Gateways {
+		if _, err := fmt.Fprintf(env.stdout, "  RELAY_CONFIG=%s bin/gateway   # listens on %s\n", gateway.Config,
+			gateway.Listen); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintln(env.stdout, "The load begins when all of them are ready. Ctrl-C ends it.")
+	return err
+}
--- /dev/null
+++ b/cmd/springfield/experiment_results.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"springfield/internal/experiment"
+)
+
+type experimentCompareCommand struct {
+	storeFlag
+
+	Experiment string `arg:"" help:"Name of the experiment."`
+	Before     string `required:"" placeholder:"DECIDER[@VERSION]" help:"What is compared with. ${side_help}"`
+	After      string `required:"" placeholder:"DECIDER[@VERSION]" help:"What is compared. ${side_help}"`
+}
+
+// Help gives examples.
+func (*experimentCompareCommand) Help() string {
+	return `The differences have 95 % confidence intervals by Student's t distribution, over the pairs of runs with the
+same size, seed and scenario.
+
+Examples:
+
+    springfield experiment compare calm --before even-split --after springfield
+    springfield experiment compare calm --before springfield@0ecc856f1a2b --after springfield@c03b0e71d2f0`
+}
+
+// Run prints the comparison.
+func (c *experimentCompareCommand) Run(env *environment) error {
+	records, err := storedRecords(c.Store, []string{c.Experiment})
+	if err != nil {
+		return err
+	}
+	before, err := parseSide("--before", c.Before, records)
+	if err != nil {
+		return err
+	}
+	after, err := parseSide("--after", c.After, records)
+	if err != nil {
+		return err
+	}
+	comparison, err := experiment.Compare(records, c.Experiment, before, after)
+	if errors.Is(err, experiment.ErrNoRecords) {
+		return &inputError{err}
+	}
+	if err != nil {
+		return err
+	}
+	return comparison.WriteText(env.stdout)
+}
+
+// parseSide parses DECIDER[@VERSION].
+func parseSide(flag, text string, records []experiment.Record) (experiment.Side, error) {
+	decider, version, versioned := strings.Cut(text, "@")
+	if decider == "" || versioned && version == "" {
+		return experiment.Side{}, inputErrorf("%s is %q, want DECIDER or DECIDER@VERSION", flag, text)
+	}
+	if versioned {
+		return experiment.Side{Decider: decider, Version: version}, nil
+	}
+	versions := versionsOf(decider, records)
+	if len(versions) == 1 {
+		return experiment.Side{Decider: decider, Version: versions[0]}, nil
+	}
+	own, err := programVersion()
+	if err != nil {
+		return experiment.Side{}, err
+	}
+	if len(versions) > 1 && !slices.Contains(versions, own) {
+		return experiment.Side{}, inputErrorf("%s is %q without a version, and the store has %s", flag, text,
+			strings.Join(versions, ", "))
+	}
+	return experiment.Side{Decider: decider, Version: own}, nil
+}
+
+// versionsOf returns the versions of a decider's records, sorted.
+func versionsOf(decider string, records []experiment.Record) []string {
+	var versions []string
+	for i := range records {
+		if records[i].Decider == decider {
+			versions = append(versions, records[i].Version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+type experimentListCommand struct {
+	storeFlag
+
+	Experiments []string `arg:"" optional:"" help:"Names of experiments; without them, all."`
+}
+
+// Help gives examples.
+func (*experimentListCommand) Help() string {
+	return `Each line holds the means over the seeds of one version, decider and size.
+
+Examples:
+
+    springfield experiment list
+    springfield experiment list calm herd --store all.db`
+}
+
+// Run prints the results.
+func (c *experimentListCommand) Run(env *environment) error {
+	records, err := storedRecords(c.Store, c.Experiments)
+	if err != nil {
+		return err
+	}
+	if len(records) == 0 {
+		_, err := fmt.Fprintf(env.stdout, "%s holds no results\n", c.Store)
+		return err
+	}
+	return experiment.WriteList(env.stdout, records)
+}
+
+// storedRecords reads the records of experiments, or of all. An experiment without records is bad input.
+func storedRecords(path string, names []string) (records []experiment.Record, err error) {
+	store, err := openStore(path, false)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, store.Close()) }()
+	stored, err := store.Experiments()
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	if len(names) == 0 {
+		names = stored
+	}
+	for _, name := range names {
+		if !slices.Contains(stored, name) {
+			return nil, inputErrorf("%s has no results of experiment %q, only of %s", path, name, listed(stored))
+		}
+		found, err := store.Records(name)
+		if err != nil {
+			return nil, fmt.Errorf("read %s: %w", path, err)
+		}
+		records = append(records, found...)
+	}
+	return records, nil
+}
+
+// listed joins names, or tells that there are none.
+func listed(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/cmd/springfield/report.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"springfield/internal/experiment"
+	"springfield/internal/report"
+)
+
+// maxReported is the most results that a page shows side by side.
+const maxReported = 24
+
+type reportCommand struct {
+	Files      []string  `arg:"" optional:"" type:"existingfile" placeholder:"FILE" help:"Results of experiment run."`
+	Store      string    `type:"path" placeholder:"FILE" help:"Store of results, in place of files."`
+	Experiment []string  `placeholder:"NAME" help:"Only results of these experiments."`
+	Decider    []string  `placeholder:"NAME" help:"Only results of these deciders."`
+	Label      []string  `placeholder:"VERSION" help:"Only results of these versions."`
+	Size       []float64 `placeholder:"N" help:"Only results of these sizes."`
+	Seed       []uint64  `placeholder:"N" help:"Only results of these seeds."`
+	Output     string    `short:"o" default:"report.html" type:"path" placeholder:"FILE" help:"HTML page (${default})."`
+	Plots      string    `type:"path" placeholder:"DIR" help:"Also write each plot to a file in this directory."`
+	Format     string    `enum:"svg,png" default:"svg" help:"Format of the plots: ${enum}."`
+}
+
+// Help gives examples.
+func (*reportCommand) Help() string {
+	return `Examples:
+
+    springfield report out/results.jsonl --output demo.html
+    springfield report --store results.db --experiment calm --seed 1 --plots plots --format png`
+}
+
+// Run writes the page, and the plots if they are asked for.
+func (c *reportCommand) Run(env *environment) error {
+	records, err := c.records()
+	if err != nil {
+		return err
+	}
+	results := namedResults(records)
+	if err := writePage(c.Output, results); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(env.stdout, "%s: %s\n", c.Output, plural(len(results), "result")); err != nil {
+		return err
+	}
+	if c.Plots == "" {
+		return nil
+	}
+	return c.writePlots(env, results)
+}
+
+// records returns the results that are selected.
+func (c *reportCommand) records() ([]experiment.Record, error) {
+	var records []experiment.Record
+	switch {
+	case len(c.Files) > 0 && c.Store != "":
+		return nil, inputErrorf("both files of results and --store are given")
+	case c.Store != "":
+		stored, err := storedRecords(c.Store, c.Experiment)
+		if err != nil {
+			return nil, err
+		}
+		records = stored
+	case len(c.Files) > 0:
+		for _, file := range c.Files {
+			read, err := readResults(file)
+			if err != nil {
+				return nil, err
+			}
+			records = append(records, read...)
+		}
+	default:
+		return nil, inputErrorf("neither a file of results nor --store is given (see springfield report --help)")
+	}
+	selected := slices.DeleteFunc(records, func(r experiment.Record) bool { return !c.selects(&r) })
+	switch {
+	case len(selected) == 0:
+		return nil, inputErrorf("no result is selected")
+	case len(selected) > maxReported:
+		return nil, inputErrorf("%d results are selected, a page shows %d: select by --decider, --label, --size or --seed",
+			len(selected), maxReported)
+	}
+	return selected, nil
+}
+
+func (c *reportCommand) selects(record *experiment.Record) bool {
+	return allows(c.Experiment, record.Experiment) && allows(c.Decider, record.Decider) &&
+		allows(c.Label, record.Version) && allows(c.Size, record.Size) && allows(c.Seed, record.Seed)
+}
+
+// allows tells whether a value is among the chosen ones, or none are chosen.
+func allows[T comparable](chosen []T, value T) bool {
+	return len(chosen) == 0 || slices.Contains(chosen, value)
+}
+
+// namedResults names each result by what distinguishes it from the others.
+func namedResults(records []experiment.Record) []report.Named {
+	parts := []func(*experiment.Record) string{
+		func(r *experiment.Record) string { return r.Experiment },
+		func(r *experiment.Record) string { return r.Decider },
+		func(r *experiment.Record) string { return r.Version },
+		func(r *experiment.Record) string { return fmt.Sprintf("size %g", r.Size) },
+		func(r *experiment.Record) string { return fmt.Sprintf("seed %d", r.Seed) },
+	}
+	first := &records[0]
+	parts = slices.DeleteFunc(parts, func(part func(*experiment.Record) string) bool {
+		return !slices.ContainsFunc(records, func(r experiment.Record) bool { return part(&r) != part(first) })
+	})
+	results := make([]report.Named, len(records))
+	for i := range records {
+		var names []string
+		for _, part := range parts {
+			names = append(names, part(&records[i]))
+		}
+		if len(names) == 0 {
+			names = []string{records[i].Decider}
+		}
+		results[i] = report.Named{Name: strings.Join(names, ", "), Result: records[i].Result}
+	}
+	return results
+}
+
+func (c *reportCommand) writePlots(env *environment, results []report.Named) error {
+	if err := os.MkdirAll(c.Plots, directoryMode); err != nil {
+		return &inputError{err}
+	}
+	write := report.WriteSVG
+	if c.Format == "png" {
+		write = report.WritePNG
+	}
+	written := 0
+	for i := range results {
+		for _, figure := range report.Figures() {
+			name := fmt.Sprintf("%d-%s-%s.%s", i+1, fileName(results[i].Name), figure, c.Format)
+			err := writeFile(filepath.Join(c.Plots, name), func(w io.Writer) error { return write(w, figure, &results[i]) })
+			if err != nil {
+				return err
+			}
+			written++
+		}
+	}
+	_, err := fmt.Fprintf(env.stdout, "%s: %s\n", c.Plots, plural(written, "plot"))
+	return err
+}
+
+// fileName replaces what does not belong in the name of a file.
+func fileName(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '.' {
+			return r
+		}
+		return '-'
+	}, text)
+}
