--- a/internal/baseline/gateway_test.go
+++ b/internal/baseline/gateway_test.go
@@ -118,6 +118,9 @@
 		}
 		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateDelta, []policy.Endpoint{draining, removed})
 		expectAll("after a change", 3, 4)
+		if known := len(gateway.internals().endpoints); known != 3 {
+			t.Errorf("%d endpoints are known after one of four was removed", known)
+		}
 		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateFailed, nil)
 		expectAll("after a failed call", 3, 4)
 		gateway.decider.UpdateEndpoints(gateway.now, policy.UpdateFull, []policy.Endpoint{readyEndpoint(2)})
