Record runs over sockets by one recorder, from the begin of the load

Cause: the experiments and the command line each had their own, which differed in what they did before the load. Measured: tests of the three packages pass with -race.

--- a/cmd/springfield/measurement.go
+++ b/cmd/springfield/measurement.go
@@ -12,22 +12,21 @@
 // measurement measures a run over sockets and checks its rules. It takes observations until it is finished, so that
 // what ends with the deployment does not count.
 type measurement struct {
-	scenario *emulator.Scenario
-	checker  *invariant.Checker
+	checker *invariant.Checker
 
 	mu       sync.Mutex // guards what follows: a run may be finished while it goes on
-	recorder *measure.Recorder
+	recorder *measure.LoadRecorder
 	finished bool
 }
 
 func newMeasurement(scenario *emulator.Scenario) *measurement {
 	return &measurement{
-		scenario: scenario,
+		recorder: measure.NewLoadRecorder(scenario),
 		checker:  invariant.NewChecker(scenario, invariant.WithSlack(invariant.SocketSlack)),
 	}
 }
 
-// Observe implements emulator.Observer. The figures begin with the load, once the gateways have become ready.
+// Observe implements emulator.Observer.
 func (m *measurement) Observe(at time.Duration, observation emulator.Observation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -35,12 +34,6 @@
 		return
 	}
 	m.checker.Observe(at, observation)
-	if m.recorder == nil {
-		if _, begins := observation.(emulator.RequestSubmitted); !begins {
-			return
-		}
-		m.recorder = measure.NewRecorder(m.scenario, at)
-	}
 	m.recorder.Observe(at, observation)
 }
 
@@ -49,7 +42,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.finished = true
-	if m.recorder == nil {
+	if !m.recorder.Begun() {
 		return measure.Result{}, invariant.Report{}, false
 	}
 	end := time.Duration(time.Now().UnixNano())
--- a/internal/experiment/loopback.go
+++ b/internal/experiment/loopback.go
@@ -55,7 +55,7 @@
 			return result, report, err
 		}
 		defer remove()
-		recorder := &loadRecorder{scenario: &run.Scenario}
+		recorder := measure.NewLoadRecorder(&run.Scenario)
 		checker := invariant.NewChecker(&run.Scenario, invariant.WithSlack(invariant.SocketSlack))
 		summary, runErr := loopback.Run(ctx, loopback.Options{
 			Scenario:    run.Scenario,
@@ -67,7 +67,7 @@
 			Logger:      options.Logger,
 		})
 		end := time.Duration(time.Now().UnixNano())
-		result, report = recorder.result(end), checker.Finish(end)
+		result, report = recorder.Result(end), checker.Finish(end)
 		return result, report, loopbackError(&summary, report, runErr)
 	}
 }
@@ -97,49 +97,3 @@
 	directory, err = os.MkdirTemp("", "springfield-experiment-")
 	return directory, func() { _ = os.RemoveAll(directory) }, err // what is left over lies in the temporary directory
 }
-
-// loadRecorder is a measure.Recorder that begins with the load, whose time is not known before: the gateways have to
-// become ready first. What was observed until then counts as observed at the begin of the load.
-type loadRecorder struct {
-	scenario *emulator.Scenario
-	recorder *measure.Recorder // nil until the load has begun
-	earlier  []emulator.Observation
-}
-
-// Observe implements emulator.Observer.
-func (l *loadRecorder) Observe(at time.Duration, observation emulator.Observation) {
-	if l.recorder == nil {
-		if !beginsLoad(observation) {
-			l.earlier = append(l.earlier, observation)
-			return
-		}
-		l.begin(at)
-	}
-	l.recorder.Observe(at, observation)
-}
-
-// beginsLoad tells whether an observation is made only once the load has begun.
-func beginsLoad(observation emulator.Observation) bool {
-	switch observation.(type) {
-	case emulator.RequestSubmitted, emulator.FaultChanged:
-		return true
-	default:
-		return false
-	}
-}
-
-func (l *loadRecorder) begin(at time.Duration) {
-	l.recorder = measure.NewRecorder(l.scenario, at)
-	for _, observation := range l.earlier {
-		l.recorder.Observe(at, observation)
-	}
-	l.earlier = nil
-}
-
-// result returns the figures of the run. A run without any load has begun when it ended.
-func (l *loadRecorder) result(end time.Duration) measure.Result {
-	if l.recorder == nil {
-		l.begin(end)
-	}
-	return l.recorder.Result(end)
-}
