--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -68,9 +68,8 @@
 func (e *Engine) updateEndpoint(now time.Duration, in Endpoint) {
 	ep := e.endpoints[in.ID]
 	if ep == nil {
-		rank := rand.NewPCG(uint64(in.ID), uint64(e.cfg.GatewayIndex)).Uint64()
-		ep = &endpoint{rank: rank, latencyPerUnit: e.latencyPerUnit, measuredAt: now}
-		ep.limit = max(1, e.initialLimit())
+		rank, limit := rand.NewPCG(uint64(in.ID), uint64(e.cfg.GatewayIndex)).Uint64(), max(1, e.initialLimit())
+		ep = &endpoint{rank: rank, limit: limit, latencyPerUnit: e.latencyPerUnit, measuredAt: now}
 		e.endpoints[in.ID] = ep
 	} else if in.StartedAt != ep.StartedAt {
 		// A restart under the same id is a new process: warming up, with a clean record.
@@ -143,7 +142,7 @@
 	if ep.inFlight == 0 {
 		ep.lastResponse = now
 	}
-	ep.inFlight++
+	ep.inFlight, e.inFlight = ep.inFlight+1, e.inFlight+1
 	ep.inFlightUnits += r.Units
 	e.inFlightUnits += r.Units
 	if ep.ejected {
@@ -229,9 +228,11 @@
 
 // releaseInFlight ends an attempt's part of the units in flight: exactly that, or the limits close for ever.
 func (e *Engine) releaseInFlight(ep *endpoint, units float64) {
-	ep.inFlight--
-	ep.inFlightUnits = max(0, ep.inFlightUnits-units)
-	e.inFlightUnits = max(0, e.inFlightUnits-units)
+	ep.inFlight, e.inFlight = ep.inFlight-1, e.inFlight-1
+	ep.inFlightUnits, e.inFlightUnits = max(0, ep.inFlightUnits-units), max(0, e.inFlightUnits-units)
+	if e.inFlight == 0 {
+		e.inFlightUnits = 0 // sums of fractions leave a rest
+	}
 	if ep.inFlight == 0 {
 		ep.inFlightUnits = 0
 		if !ep.listed {
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -27,10 +27,11 @@
 	endpointList []*endpoint // the present ones by rank
 	readyWeight  float64     // summed weight of the ready endpoints
 
-	pressure       float64 // smoothed latency over latency objective
-	overloaded     bool    // pressure is too high
-	limit          float64 // units in flight that this gateway may have at all endpoints together
-	inFlightUnits  float64
+	pressure       float64       // smoothed latency over latency objective
+	overloaded     bool          // pressure is too high
+	limit          float64       // units in flight that this gateway may have at all endpoints together
+	inFlight       int           // attempts at all endpoints together
+	inFlightUnits  float64       // and their units
 	pausedUntil    time.Duration // no forwarding before; set while limit is under one unit
 	latencyPerUnit float64       // seconds, smoothed over all endpoints
 	retryTokens    float64
