--- /dev/null
+++ b/internal/frontend/fuzz_test.go
@@ -0,0 +1,161 @@
+package frontend
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+	"testing"
+	"time"
+
+	"springfield/internal/settings"
+	"springfield/internal/testkit"
+	"springfield/internal/upstream"
+)
+
+// fuzzGateways is the size of the fleet in the settings of the fuzz tests.
+const fuzzGateways = 16
+
+// The wire forms of the protocol, apart from the parser's own checks. White space around the fields, of any kind that
+// unicode.IsSpace knows, does no harm.
+var (
+	pathForm  = regexp.MustCompile(`(?s)^/(lookup|add|pay)/(.*/)?([0-9a-fA-F]{16})$`)
+	quotaForm = regexp.MustCompile(`^` + quotaField + `,` + quotaField + `,` + quotaField + `$`)
+)
+
+const quotaField = `[\s\v\x{85}\p{Z}]*(units|spread|first)=([0-9.]+)[\s\v\x{85}\p{Z}]*`
+
+func newFuzzParser(t testing.TB) (*requestParser, settings.Settings) {
+	t.Helper()
+	s := testkit.Settings(t)
+	s.Balancers = fuzzGateways
+	return newRequestParser(&s), s
+}
+
+// FuzzRequestHead checks that no request leads to a panic, that a bad one gets a client error, and that one that is
+// accepted keeps the bounds of the protocol.
+func FuzzRequestHead(f *testing.F) {
+	parser, s := newFuzzParser(f)
+	f.Add([]byte(testkit.RequestHead(http.MethodGet, "lookup", "a", "0.480")))
+	f.Add([]byte(testkit.RequestHead(http.MethodPost, "pay", "a", "8") + "x"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(input)))
+		if err != nil {
+			return // net/http answers it
+		}
+		if err = checkFraming(request); err != nil {
+			checkClientError(t, err)
+			return
+		}
+		parsed, err := parser.parse(request, time.Hour)
+		if err != nil {
+			checkClientError(t, err)
+			return
+		}
+		checkAccepted(t, &s, request, parsed)
+	})
+}
+
+func checkClientError(t *testing.T, err error) {
+	t.Helper()
+	requestError, ok := errors.AsType[*RequestError](err)
+	if !ok || requestError.Status < 400 || requestError.Status > 499 || requestError.Status == http.StatusTooManyRequests {
+		t.Errorf("%v is not a client's error", err)
+	}
+}
+
+// checkAccepted checks the bounds of the protocol for a request that was received an hour after the epoch.
+func checkAccepted(t *testing.T, s *settings.Settings, request *http.Request, parsed parsedRequest) {
+	t.Helper()
+	got := parsed.request
+	if got.Class < 0 || got.Class >= len(s.Classes) || got.Plan < 0 || got.Plan >= len(s.Contracts) {
+		t.Fatalf("class %d, plan %d", got.Class, got.Plan)
+	}
+	class := &s.Classes[got.Class]
+	path := pathForm.FindStringSubmatch(request.URL.Path)
+	if path == nil || path[1] != class.Name {
+		t.Fatalf("class %q for path %q", class.Name, request.URL.Path)
+	}
+	if customer, err := strconv.ParseUint(path[3], 16, 64); err != nil || customer != uint64(got.Customer) ||
+		customer >= 1<<33 {
+		t.Errorf("customer %x for path %q", got.Customer, request.URL.Path)
+	}
+	if isGet := class.Repeat == settings.RepeatIdempotent; isGet != (request.Method == http.MethodGet) ||
+		!isGet && request.Method != http.MethodPost || isGet && request.ContentLength != 0 {
+		t.Errorf("class %q with method %s and a body of %d bytes", class.Name, request.Method, request.ContentLength)
+	}
+	if request.ContentLength < 0 || request.ContentLength > upstream.MaxBodyBytes {
+		t.Errorf("a body of %d bytes", request.ContentLength)
+	}
+	if parsed.id == "" || len(parsed.id) > maxIDBytes || parsed.id != request.Header.Get("Req-Id") {
+		t.Errorf("id %q", parsed.id)
+	}
+	if plan := request.Header.Get("Plan"); plan != s.Contracts[got.Plan].Name {
+		t.Errorf("plan %d for %q", got.Plan, plan)
+	}
+	timeLeft := parsed.deadline + responseMargin - time.Hour
+	stated, err := strconv.ParseFloat(request.Header.Get("Req-Deadline"), 64)
+	if err != nil || stated <= 0 || timeLeft < 0 || timeLeft.Seconds() > stated ||
+		timeLeft > settings.Duration(class.HardLimitMs) {
+		t.Errorf("%v left of a deadline of %q", timeLeft, request.Header.Get("Req-Deadline"))
+	}
+	checkQuota(t, s.Extra.MostUnits, request.Header.Get("Quota-Info"),
+		quotaInfo{units: got.Units, setSize: got.SetSize, setFirst: got.SetFirst})
+}
+
+// checkQuota checks what was read from an accepted quota header.
+func checkQuota(t *testing.T, maxUnits float64, text string, got quotaInfo) {
+	t.Helper()
+	if !(got.units > 0 && got.units <= maxUnits) || got.setSize < 1 || got.setSize > fuzzGateways ||
+		got.setFirst < 0 || got.setFirst >= fuzzGateways {
+		t.Errorf("%q gives %+v", text, got)
+	}
+	fields := quotaForm.FindStringSubmatch(text)
+	if fields == nil {
+		t.Fatalf("%q is accepted", text)
+	}
+	values := map[string]float64{}
+	for i := 1; i < len(fields); i += 2 {
+		value, err := strconv.ParseFloat(fields[i+1], 64)
+		if err != nil {
+			t.Fatalf("%q is accepted: %v", text, err)
+		}
+		values[fields[i]] = value
+	}
+	want := map[string]float64{"units": got.units, "spread": float64(got.setSize), "first": float64(got.setFirst)}
+	if len(values) != len(want) {
+		t.Errorf("%q is accepted", text)
+	}
+	for name, value := range want {
+		if values[name] != value {
+			t.Errorf("%q gives %+v", text, got)
+		}
+	}
+}
+
+// FuzzQuotaInfo checks that no quota header leads to a panic, that what is accepted keeps the bounds, and that it can
+// be written and read again.
+func FuzzQuotaInfo(f *testing.F) {
+	parser, s := newFuzzParser(f)
+	f.Add("units=2,spread=3,first=1")
+	f.Add("first=15, spread=16, units=0.25")
+	f.Fuzz(func(t *testing.T, text string) {
+		got, err := parser.parseQuotaInfo([]string{text})
+		if err != nil {
+			checkClientError(t, err)
+			return
+		}
+		checkQuota(t, s.Extra.MostUnits, text, got)
+		units := strconv.FormatFloat(got.units, 'f', -1, 64)
+		if len(units) > maxNumberBytes {
+			return
+		}
+		written := fmt.Sprintf("units=%s,spread=%d,first=%d", units, got.setSize, got.setFirst)
+		if again, err := parser.parseQuotaInfo([]string{written}); err != nil || again != got {
+			t.Errorf("%q gives %+v, %q gives %+v, %v", text, got, written, again, err)
+		}
+	})
+}
