--- a/internal/emulator/model/discovery.go
+++ b/internal/emulator/model/discovery.go
@@ -96,6 +96,18 @@
 	return version, d.sorted
 }
 
+// ReadyEndpoints returns the entries of the list that are ready.
+func (d *Discovery) ReadyEndpoints() []policy.Endpoint {
+	var ready []policy.Endpoint
+	_, list := d.List()
+	for _, entry := range list {
+		if entry.State == policy.StateReady {
+			ready = append(ready, entry)
+		}
+	}
+	return ready
+}
+
 // Watch opens a watch for a gateway. The complete list comes first and then each change, until cancel is called. An
 // update of the kind UpdateFailed says that the call has failed: that watch brings nothing more.
 func (d *Discovery) Watch(gateway int, deliver Deliver) (cancel func()) {
--- a/internal/emulator/virtual/faults.go
+++ b/internal/emulator/virtual/faults.go
@@ -17,16 +17,7 @@
 func (t faultTarget) GatewayZone(gateway int) int { return t.w.gateways[gateway].zone }
 
 // Endpoints implements model.FaultTarget.
-func (t faultTarget) Endpoints() []policy.Endpoint {
-	var ready []policy.Endpoint
-	_, list := t.w.discovery.List()
-	for _, entry := range list {
-		if entry.State == policy.StateReady {
-			ready = append(ready, entry)
-		}
-	}
-	return ready
-}
+func (t faultTarget) Endpoints() []policy.Endpoint { return t.w.discovery.ReadyEndpoints() }
 
 // KillGateway implements model.FaultTarget.
 func (t faultTarget) KillGateway(gateway int) { t.w.gateways[gateway].kill() }
