--- a/cmd/gateway/main_test.go
+++ b/cmd/gateway/main_test.go
@@ -56,13 +56,23 @@
 
 // startProgram runs the gateway with a configuration file and waits until it listens.
 func startProgram(t *testing.T, file string) *program {
+	t.Helper()
+	return startProgramWith(t, file, func(command *exec.Cmd) *os.File {
+		stderr, err := command.StderrPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return stderr.(*os.File)
+	})
+}
+
+// startProgramWith is startProgram with a function that sets the program's standard error and returns the end of it
+// that the test reads.
+func startProgramWith(t *testing.T, file string, connectLog func(*exec.Cmd) *os.File) *program {
 	t.Helper()
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), "RELAY_CONFIG="+file, "RELAY_DISCOVERY=")
-	stderr, err := command.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
+	stderr := connectLog(command)
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
