--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -11,9 +11,11 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"springfield/internal/config"
 	"springfield/internal/gateway"
+	"springfield/internal/logging"
 )
 
 const (
@@ -28,12 +30,22 @@
 	heapShare = 0.75
 
 	bytesPerMB = 1 << 20
+
+	// logFlushTimeout bounds how long the end of the process waits for a log that is not read.
+	logFlushTimeout = 200 * time.Millisecond
 )
 
 func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
+	// A write to standard error whose reader has gone would end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	log := logging.NewWriter(os.Stderr)
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	err := run()
+	if err != nil {
 		slog.Error("gateway failed", "err", err)
+	}
+	log.Flush(logFlushTimeout) // if it fails the lines are lost; the exit status tells of the error all the same
+	if err != nil {
 		os.Exit(1)
 	}
 }
