--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -27,6 +27,7 @@
 // limitedListener accepts connections as fast as the limiter makes room for them. It implements net.Listener.
 type limitedListener struct {
 	limiter  *connectionLimiter
+	retry    acceptRetry // used by Accept alone
 	stopping atomic.Bool
 	stopBy   time.Time // set before stopping
 
@@ -52,10 +53,15 @@
 	}
 }
 
+// deadlineSetter is a listener whose calls of Accept can be interrupted.
+type deadlineSetter interface {
+	SetDeadline(deadline time.Time) error
+}
+
 // interrupt ends a call of Accept that is in progress. l.mu is held.
 func (l *limitedListener) interrupt() {
-	if tcp, ok := l.listener.(*net.TCPListener); ok {
-		_ = tcp.SetDeadline(past) // fails only on a closed listener, on which Accept ends by itself
+	if listener, ok := l.listener.(deadlineSetter); ok {
+		_ = listener.SetDeadline(past) // fails only on a closed listener, on which Accept ends by itself
 	} else {
 		_ = l.listener.Close() // as above
 	}
@@ -81,15 +87,25 @@
 		if stopping && time.Now().After(l.stopBy) {
 			return nil, net.ErrClosed
 		}
-		if tcp, ok := l.listener.(*net.TCPListener); ok && stopping {
-			_ = tcp.SetDeadline(time.Now().Add(backlogTimeout)) // fails only on a closed listener; so does Accept
+		if listener, ok := l.listener.(deadlineSetter); ok && stopping {
+			_ = listener.SetDeadline(time.Now().Add(backlogTimeout)) // fails only on a closed listener; so does Accept
 		}
 		conn, err := l.listener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return conn, err
-		}
-		if stopping {
-			return nil, net.ErrClosed
+		switch {
+		case err == nil:
+			l.retry.succeeded()
+			return conn, nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if stopping {
+				return nil, net.ErrClosed
+			}
+		case acceptIsOver(err):
+			return nil, err
+		default:
+			if lacksDescriptors(err) {
+				l.limiter.evict(time.Now())
+			}
+			l.retry.wait(err)
 		}
 	}
 }
--- a/internal/gateway/accept_test.go
+++ b/internal/gateway/accept_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"springfield/internal/testkit"
 )
@@ -81,3 +83,32 @@
 		})
 	}
 }
+
+// An error after which the listener cannot accept any more ends the gateway, but not before the requests that are open
+// are answered.
+func TestLossOfListenerDrains(t *testing.T) {
+	server := okServer(t)
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &failingListener{TCPListener: tcp}
+	cfg := testConfig(t, "127.0.0.1:1")
+	cfg.Known = cachedList(server.Address())
+	testkit.SlowSettings(&cfg.Settings)
+	g := runGateway(t, cfg, listener, options{drainDelay: time.Millisecond})
+	open := g.dial()
+	half := slowRequest("pay", "half")
+	open.WriteText(half[:len(half)-1])
+	testkit.Eventually(t, "an open request", func() bool { return g.server.ActiveConnections() == 1 })
+	listener.errno.Store(uint64(syscall.EBADF))
+	g.dial() // ends the call of accept that is in progress
+	testkit.Eventually(t, "the failure", func() bool { return listener.failures.Load() > 0 })
+	open.WriteText(half[len(half)-1:])
+	if response := open.ReadResponse(); response.Status != http.StatusOK {
+		t.Errorf("the request that was open: got %+v", response)
+	}
+	if err := testkit.Receive(t, "the end of the gateway", g.ended); !errors.Is(err, syscall.EBADF) {
+		t.Errorf("it ended with %v", err)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -73,7 +74,10 @@
 
 	select {
 	case err := <-served:
-		return fmt.Errorf("serve clients: %w", err)
+		slog.Error("accepting failed", "err", err)
+		served <- err // for the drain: requests that are open are answered all the same
+		return errors.Join(fmt.Errorf("serve clients: %w", err),
+			shutDown(parts, listener, served, cfg.LongestDeadline(), opts))
 	case <-ctx.Done():
 	}
 	return shutDown(parts, listener, served, cfg.LongestDeadline(), opts)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"time"
@@ -34,15 +33,11 @@
 	parts.server.BeginDrain()
 	answerBy := startedAt.Add(delay + min(longestDeadline, killNotBefore))
 	parts.loop.BeginShutdown(parts.clock.FromTime(answerBy))
-	select {
-	case err := <-served:
-		return fmt.Errorf("serve clients: %w", err)
-	case <-time.After(delay):
-	}
+	time.Sleep(delay)
 	// Connections in the machine's accept queue are accepted before the listener is closed.
 	parts.server.StopAccepting()
 	if err := <-served; !errors.Is(err, net.ErrClosed) {
-		slog.Warn("accepting failed", "err", err)
+		slog.Warn("accepting failed", "err", err) // the drain goes on with the connections that are open
 	}
 	_ = listener.Close() // nothing is left in it
 
