--- /dev/null
+++ b/internal/discovery/transfer_test.go
@@ -0,0 +1,115 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"springfield/internal/settings"
+	"springfield/internal/testkit"
+)
+
+// scriptedDiscovery is a discovery service on connections in memory, for tests on virtual time. It writes texts with a
+// pause before each.
+type scriptedDiscovery struct {
+	list  []pausedText // the response to a call for the complete list; a watch gets no response
+	calls chan string  // gets the query of each call
+}
+
+type pausedText struct {
+	pause time.Duration
+	text  string
+}
+
+// dial connects to the service. It has the signature of http.Transport.DialContext.
+func (d *scriptedDiscovery) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go d.serve(server)
+	return client, nil
+}
+
+func (d *scriptedDiscovery) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }() // fails when the client has closed it
+	buffer := make([]byte, 4<<10)
+	n, err := conn.Read(buffer)
+	if err != nil {
+		return
+	}
+	head, _, _ := strings.Cut(string(buffer[:n]), " HTTP/")
+	_, query, _ := strings.Cut(head, "?")
+	d.calls <- query
+	if query == "" {
+		for _, part := range d.list {
+			time.Sleep(part.pause)
+			if _, err := io.WriteString(conn, part.text); err != nil {
+				return
+			}
+		}
+	}
+	_, _ = conn.Read(buffer) // returns once the client has closed the connection
+}
+
+// newScriptedClient returns a client of the service.
+func newScriptedClient(service *scriptedDiscovery) (*Client, *recordingSink) {
+	sink := newRecordingSink()
+	client := NewClient(Options{Address: "discovery:1", Pacing: PacingFor(&settings.Settings{}), Seed: 1}, sink)
+	client.http.Transport = &http.Transport{DialContext: service.dial}
+	return client, sink
+}
+
+const listHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+// piecewise returns a complete list that arrives in parts.
+func piecewise(parts int, pause time.Duration) (list []pausedText) {
+	text := testkit.EndpointListJSON(7, true, testkit.EndpointLine("a", "127.0.0.1:1", "up", 0))
+	list = append(list, pausedText{text: listHead})
+	for i := range parts {
+		from, to := len(text)*i/parts, len(text)*(i+1)/parts
+		list = append(list, pausedText{pause: pause, text: text[from:to]})
+	}
+	return list
+}
+
+// A list that arrives slowly is read, however long it takes in all: only silence ends a call. A list that took longer
+// than the time for silence was once cut at each attempt.
+func TestSlowListIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const parts, pause = 9, 500 * time.Millisecond
+		service := &scriptedDiscovery{list: piecewise(parts, pause), calls: make(chan string, 100)}
+		client, sink := newScriptedClient(service)
+		began := time.Now()
+		startForTest(t, client)
+		update := sink.next(t)
+		if took := time.Since(began); len(update.Endpoints) != 1 || took != parts*pause {
+			t.Errorf("got %+v after %v", update, took)
+		}
+		<-service.calls
+		if query := <-service.calls; query != "watch=1&after=7" {
+			t.Errorf("then called with %q", query)
+		}
+	})
+}
+
+// A list that stops in the middle is given up after the time for silence. Since what it would have told counts as
+// notified 6 s after the call began, the next call follows at once then.
+func TestListThatStopsIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const parts, pause = 4, time.Second
+		list := piecewise(parts, pause)
+		service := &scriptedDiscovery{list: list[:parts], calls: make(chan string, 100)}
+		client, _ := newScriptedClient(service)
+		startForTest(t, client)
+		<-service.calls
+		began := time.Now()
+		<-service.calls
+		const lastByteAfter = (parts - 1) * pause
+		if took := time.Since(began); took < lastByteAfter+watchTimeout || took > lastByteAfter+watchTimeout+minInitialBackoff {
+			t.Errorf("called again after %v", took)
+		}
+	})
+}
