--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -65,6 +66,7 @@
 	listURL     string    // where the list in force was obtained; "": there is none, or a change of it was missed
 	listVersion uint64    // the version of that list
 	lastError   string    // the error that was logged last; "": discovery has responded since
+	lastEnd     string    // why the last watch ended, as it was logged
 	lastHeardAt time.Time // when the last line of a watch arrived, or else when the present attempt began
 
 	firstResponse     chan struct{}
@@ -187,3 +189,20 @@
 	c.lastError = err.Error()
 	slog.Warn("discovery failed", "err", err)
 }
+
+// logWatchEnd logs why an established watch has ended, unless the one before ended in the same way, or the client has
+// ended it for a migration.
+func (c *Client) logWatchEnd(ctx context.Context, reason error) {
+	text := "ended by discovery"
+	switch {
+	case reason != nil && ctx.Err() != nil && errors.Is(reason, context.Canceled):
+		text = "silent, or migrated"
+	case reason != nil:
+		text = reason.Error()
+	}
+	if text == c.lastEnd {
+		return
+	}
+	c.lastEnd = text
+	slog.Info("watch ended", "reason", text)
+}
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -187,3 +187,27 @@
 		t.Errorf("status 503 logged %d times", got)
 	}
 }
+
+// Changes that cannot be read leave a trace, once for each reason: since the complete list is fetched each time, nothing
+// else would tell of them.
+func TestReasonOfWatchEndIsLoggedOnce(t *testing.T) {
+	logged := captureLog(t)
+	watches := make(chan struct{}, 100)
+	address := newServer(t, func(w http.ResponseWriter, request *http.Request) {
+		if !isWatch(request) {
+			write(w, testkit.EndpointListJSON(1, true))
+			return
+		}
+		write(w, "not JSON\n")
+		watches <- struct{}{}
+	})
+	client, _ := newTestClient(address)
+	stop := start(t, client)
+	for range 3 {
+		testkit.WaitFor(t, "a watch", watches)
+	}
+	stop()
+	if got := logged.count(errBadChange.Error()); got != 1 {
+		t.Errorf("%d lines tell of the changes, want 1", got)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -35,10 +35,11 @@
 	defer silence.Stop()
 
 	if c.listURL != url {
-		if err := c.fetchList(ctx, url); err != nil {
+		if err := c.fetchList(ctx, url, silence); err != nil {
 			return err
 		}
 		c.signalFirstResponse()
+		silence.Reset(c.watchTimeout)
 	}
 	body, err := c.get(ctx, url+"?watch=1&after="+strconv.FormatUint(c.listVersion, 10))
 	if err != nil {
@@ -46,7 +47,7 @@
 	}
 	defer closeBody(body)
 	c.signalFirstResponse()
-	c.readChanges(ctx, url, body, silence)
+	c.logWatchEnd(ctx, c.readChanges(ctx, url, body, silence))
 	return nil
 }
 
@@ -54,15 +55,33 @@
 	c.firstResponseOnce.Do(func() { close(c.firstResponse) })
 }
 
+// heardReader restarts the timer of a call's silence at each read that brings bytes: a transfer may take any time, as
+// long as it goes on.
+type heardReader struct {
+	io.Reader
+	silence *time.Timer
+	timeout time.Duration
+}
+
+// Read reads from the underlying reader.
+func (r *heardReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.silence.Reset(r.timeout)
+	}
+	return n, err
+}
+
 // fetchList fetches the complete list and publishes it.
-func (c *Client) fetchList(ctx context.Context, url string) error {
+func (c *Client) fetchList(ctx context.Context, url string, silence *time.Timer) error {
 	body, err := c.get(ctx, url)
 	if err != nil {
 		return err
 	}
 	defer closeBody(body)
 	var list EndpointList
-	if err := json.NewDecoder(io.LimitReader(body, maxListBytes)).Decode(&list); err != nil {
+	heard := &heardReader{Reader: body, silence: silence, timeout: c.watchTimeout}
+	if err := json.NewDecoder(io.LimitReader(heard, maxListBytes)).Decode(&list); err != nil {
 		return fmt.Errorf("decode the list: %w", err)
 	}
 	if err := list.validate(); err != nil {
@@ -75,14 +94,21 @@
 	return ctx.Err()
 }
 
-// readChanges publishes the changes that a watch delivers until it ends. Each line restarts the timer of its silence.
-// If a change is lost, the client forgets where its list is from, so that the complete list is fetched next.
-func (c *Client) readChanges(ctx context.Context, url string, body io.Reader, silence *time.Timer) {
-	lines := bufio.NewScanner(body)
+// Reasons for which a watch ends before discovery or the network ends it. Each means that a change is lost.
+var (
+	errBadChange     = errors.New("a change cannot be read")
+	errPartialChange = errors.New("a change arrived in part")
+)
+
+// readChanges publishes the changes that a watch delivers until it ends, and returns why it did; nil means that
+// discovery has ended it. Bytes restart the timer of its silence; only a line counts as news of discovery, since what a
+// part of one tells is not known. If a change is lost, the client forgets where its list is from, so that the complete
+// list is fetched next.
+func (c *Client) readChanges(ctx context.Context, url string, body io.Reader, silence *time.Timer) error {
+	lines := bufio.NewScanner(&heardReader{Reader: body, silence: silence, timeout: c.watchTimeout})
 	lines.Buffer(nil, maxListBytes)
 	var object objectReader
 	for lines.Scan() {
-		silence.Reset(c.watchTimeout)
 		c.lastHeardAt = time.Now()
 		line := lines.Bytes()
 		isKeepAlive := len(line) == 0 && object.empty()
@@ -92,13 +118,15 @@
 		var change EndpointList
 		if json.Unmarshal(object.take(), &change) != nil || change.validate() != nil {
 			c.listURL = "" // it is not known what changed
-			return
+			return errBadChange
 		}
 		c.publish(ctx, url, change)
 	}
 	if errors.Is(lines.Err(), bufio.ErrTooLong) || !object.empty() {
 		c.listURL = "" // a change has arrived in part
+		return errPartialChange
 	}
+	return lines.Err()
 }
 
 // get returns the body of a response, which the caller closes.
