--- a/policy/admission.go
+++ b/policy/admission.go
@@ -19,6 +19,7 @@
 		return
 	}
 	e.takeTokens(r)
+	e.admittedUnits += r.Units
 	if delay <= 0 {
 		e.dispatch(now, r)
 		return
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -42,6 +42,7 @@
 
 	warmUpBucket    tokenBucket // slow start: units that may be forwarded now
 	warmUpUpdatedAt time.Duration
+	admittedSeen    float64 // Engine.admittedUnits when the bucket was last refilled
 }
 
 // UpdateEndpoints takes an update of the list. Endpoints that drain or are removed get nothing from now on.
@@ -66,12 +67,16 @@
 }
 
 func (e *Engine) updateEndpoint(now time.Duration, in Endpoint) {
-	ep := e.endpoints[in.ID]
-	if ep == nil {
+	ep, known := e.endpoints[in.ID]
+	if !known {
 		rank, limit := rand.NewPCG(uint64(in.ID), uint64(e.cfg.GatewayIndex)).Uint64(), max(1, e.initialLimit())
 		ep = &endpoint{rank: rank, limit: limit, latencyPerUnit: e.latencyPerUnit, measuredAt: now}
 		e.endpoints[in.ID] = ep
-	} else if in.StartedAt != ep.StartedAt {
+	}
+	if in.StartedAt != ep.StartedAt {
+		ep.admittedSeen = e.admittedUnits
+	}
+	if known && in.StartedAt != ep.StartedAt {
 		// A restart under the same id is a new process: warming up, with a clean record.
 		ep.ejected, ep.backoff = false, 0
 		ep.latencyPerUnit = e.latencyPerUnit
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -37,6 +37,9 @@
 	retryTokens    float64
 	forwardRate    float64 // units a second forwarded to all endpoints, a slow average
 	forwardedUnits float64 // since the last pass of the manager
+	admittedUnits  float64 // of all requests that the quotas have let in
+	demandRate     float64 // units a second of these, a fast average
+	demandSeen     float64 // admittedUnits at the last pass of the manager
 }
 
 // request is an admitted or queued request that still lacks its final answer.
--- a/policy/pacing.go
+++ b/policy/pacing.go
@@ -39,7 +39,7 @@
 	m := &e.manager
 	elapsed := now - m.lastRun
 	m.lastRun = now
-	e.updateForwardRate(now, elapsed)
+	e.updateRates(now, elapsed)
 	e.overuse.decay(elapsed)
 	m.totalUsage, m.totalQuota, m.someUnderQuota = 0, 0, false
 	kept := e.customerList[:0]
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -6,6 +6,16 @@
 	warmUpMargin       = 0.8  // share of the warm-up budget that is used
 	minInitialCapacity = 0.01 // share of its capacity at which an endpoint starts at least
 	rateManagerPeriods = 10   // least averaging time of forwardRate, in passes of the manager
+
+	// safeDemandShare is the part of what is requested that endpoints surely bear once they are warm: all but requests of
+	// over 2.5 times their capacity.
+	safeDemandShare = 0.4
+
+	// warmUpFreeCalls is how many calls in each window the whole fleet may make at an endpoint whatever it bears. The
+	// operators leave three for chance where it bears nothing at all.
+	warmUpFreeCalls = 2
+
+	leastWarmUpTokens = 1e-9 // units; lets a request pass that the bucket has just earned
 )
 
 // warmth is the least share of its capacity that an endpoint has by now.
@@ -18,15 +28,16 @@
 	return initial + (1-initial)*max(0, age.Seconds())/e.cfg.WarmUpDuration.Seconds()
 }
 
-// warmUpRate is what this gateway may forward to an endpoint in slow start, in units a second: its present
-// share of what an equal warm one got, on an average that remembers the time before a fault.
-func (e *Engine) warmUpRate(now time.Duration, ep *endpoint) float64 {
+// warmUpShare is the part of a rate of the whole that an endpoint in slow start may get: its share among equal warm
+// endpoints, times what it bears by now.
+func (e *Engine) warmUpShare(now time.Duration, ep *endpoint) float64 {
 	budget := warmUpMargin * max(1, e.cfg.WarmUpOverloadFactor) * e.warmth(now, ep)
-	return budget * e.forwardRate * ep.Weight / e.readyWeight
+	return budget * ep.Weight / e.readyWeight
 }
 
 // warmUpBudgetAllows keeps the rule on slow start by a bucket that a request may take below zero. It starts
-// below zero at random, to spread the first requests of many gateways that learn of a start at once.
+// below zero at random, to spread the first requests of many gateways that learn of a start at once. A few calls
+// of the whole fleet are free, which the rule leaves for chance.
 func (e *Engine) warmUpBudgetAllows(now time.Duration, ep *endpoint, units float64) bool {
 	if e.warmth(now, ep) >= 1 {
 		return true
@@ -34,16 +45,37 @@
 	if ep.warmUpUpdatedAt <= ep.StartedAt {
 		ep.warmUpUpdatedAt = max(ep.StartedAt, now)
 		ep.warmUpBucket.tokens = -units * e.rng.Float64()
+		if e.rng.Float64()*float64(e.cfg.GatewayCount) < warmUpFreeCalls {
+			ep.warmUpBucket.tokens = leastWarmUpTokens
+		}
 	}
-	rate := e.warmUpRate(now, ep)
-	capacity := rate * e.cfg.WarmUpOverloadWindow.Seconds() / 2
-	ep.warmUpBucket.refill(rate*(now-ep.warmUpUpdatedAt).Seconds(), capacity)
-	ep.warmUpUpdatedAt = now
+	e.refillWarmUpBucket(now, ep, units)
 	return ep.warmUpBucket.tokens > 0
 }
 
-// updateForwardRate averages the units forwarded since the manager's last pass.
-func (e *Engine) updateForwardRate(now, elapsed time.Duration) {
+// refillWarmUpBucket adds what the endpoint bears since the last time. The rate of the whole is what this gateway has
+// forwarded, on an average that remembers the time before a fault. Where that tells nothing, as in a new gateway or
+// after a quiet time, a safe part of what is requested here takes its place.
+func (e *Engine) refillWarmUpBucket(now time.Duration, ep *endpoint, units float64) {
+	share := e.warmUpShare(now, ep)
+	window := e.cfg.WarmUpOverloadWindow.Seconds()
+	elapsed := (now - ep.warmUpUpdatedAt).Seconds()
+	freeRate := 0.0
+	if window > 0 {
+		freeRate = warmUpFreeCalls * units / window / float64(max(1, e.cfg.GatewayCount))
+	}
+	rate := max(share*e.forwardRate, freeRate)
+	gain := rate * elapsed
+	if e.forwardRate <= safeDemandShare*e.demandRate {
+		rate = max(share*safeDemandShare*e.demandRate, freeRate)
+		gain = max(share*safeDemandShare*(e.admittedUnits-ep.admittedSeen), freeRate*elapsed)
+	}
+	ep.warmUpBucket.refill(gain, max(rate*window/2, leastWarmUpTokens))
+	ep.warmUpUpdatedAt, ep.admittedSeen = now, e.admittedUnits
+}
+
+// updateRates averages the units forwarded and admitted since the manager's last pass.
+func (e *Engine) updateRates(now, elapsed time.Duration) {
 	s := elapsed.Seconds()
 	if s <= 0 {
 		return
@@ -51,4 +83,7 @@
 	averaging := max(rateManagerPeriods*managerPeriod, min(now-e.startedAt, 2*e.cfg.WarmUpDuration)).Seconds()
 	e.forwardRate += min(1, s/averaging) * (e.forwardedUnits/s - e.forwardRate)
 	e.forwardedUnits = 0
+	demandAveraging := (rateManagerPeriods * managerPeriod).Seconds()
+	e.demandRate += min(1, s/demandAveraging) * ((e.admittedUnits-e.demandSeen)/s - e.demandRate)
+	e.demandSeen = e.admittedUnits
 }
