--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"springfield/internal/clock"
 	"springfield/policy"
 )
 
@@ -47,6 +48,7 @@
 
 // Options configures a Client.
 type Options struct {
+	Clock   clock.Clock
 	Address string   // of discovery, host and port
 	Zones   []string // the names of the zones; the policy numbers them in this order
 	Pacing  Pacing
@@ -56,6 +58,7 @@
 // Client follows the endpoint list of discovery. Its fields up to the mutex belong to the goroutine that calls
 // PublishCached and then Run.
 type Client struct {
+	clock        clock.Clock
 	decoder      decoder
 	random       *rand.Rand
 	pacing       Pacing
@@ -81,6 +84,7 @@
 func NewClient(options Options, sink Sink) *Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &Client{
+		clock:        options.Clock,
 		decoder:      newDecoder(options.Zones),
 		random:       rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		pacing:       options.Pacing,
@@ -122,7 +126,7 @@
 	if list.Full {
 		c.listURL, c.listVersion = c.url, list.Version
 	}
-	applied, err := c.sink.PublishEndpoints(ctx, c.decoder.update(policy.UpdateCached, list))
+	applied, err := c.sink.PublishEndpoints(ctx, c.decoder.update(c.clock.Now(), policy.UpdateCached, list))
 	if err != nil {
 		return // the sink or the context has ended, and the gateway with it
 	}
--- a/internal/discovery/endpoint_ids.go
+++ b/internal/discovery/endpoint_ids.go
@@ -33,8 +33,8 @@
 }
 
 // releaseUnlisted forgets the endpoints that the update removes and, unless it is a delta, those that it does not list.
-// Otherwise the maps would grow as long as endpoints with new names appear.
-func (e *endpointIDs) releaseUnlisted(update Update) {
+// Otherwise the maps would grow as long as endpoints with new names appear. It returns the names.
+func (e *endpointIDs) releaseUnlisted(update Update) (names []string) {
 	unlisted := map[policy.EndpointID]bool{}
 	if update.Kind != policy.UpdateDelta {
 		for id := range e.names {
@@ -47,8 +47,10 @@
 	}
 	for id, release := range unlisted {
 		if release {
+			names = append(names, e.names[id])
 			delete(e.byName, e.names[id])
 			delete(e.names, id)
 		}
 	}
+	return names
 }
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -8,10 +8,6 @@
 	"springfield/policy"
 )
 
-// maxStartedMS is the latest start time that is accepted, far in the future. It keeps the nanoseconds of a
-// time.Duration from overflowing.
-const maxStartedMS = 1 << 42
-
 var (
 	errNoServers   = errors.New("the list has no field \"servers\"")
 	errNotComplete = errors.New("the list is not complete")
@@ -65,21 +61,20 @@
 	}
 }
 
-func (i *Instance) startedAt() time.Duration {
-	return time.Duration(max(0, min(i.StartedMS, maxStartedMS))) * time.Millisecond
-}
-
 // decoder converts lists from their JSON form into the policy's form.
 type decoder struct {
-	zones []string
-	ids   endpointIDs
+	zones  []string
+	ids    endpointIDs
+	starts startTimes
 }
 
-func newDecoder(zones []string) decoder { return decoder{zones: zones, ids: newEndpointIDs()} }
+func newDecoder(zones []string) decoder {
+	return decoder{zones: zones, ids: newEndpointIDs(), starts: newStartTimes()}
+}
 
-// update converts a list. Invalid entries are skipped. The numbers of endpoints that are no longer listed
-// are released.
-func (d *decoder) update(kind policy.UpdateKind, list EndpointList) Update {
+// update converts a list that has arrived at the given time. Invalid entries are skipped. The numbers of endpoints that
+// are no longer listed are released.
+func (d *decoder) update(now time.Duration, kind policy.UpdateKind, list EndpointList) Update {
 	update := Update{Kind: kind}
 	for i := range list.Servers {
 		instance := &list.Servers[i]
@@ -93,11 +88,22 @@
 				State:     instance.policyState(),
 				Zone:      slices.Index(d.zones, instance.Zone),
 				Cell:      instance.Cell,
-				StartedAt: instance.startedAt(),
+				StartedAt: d.startedAt(now, instance),
 			},
 			Address: instance.Addr,
 		})
 	}
-	d.ids.releaseUnlisted(update)
+	for _, name := range d.ids.releaseUnlisted(update) {
+		d.starts.unlist(now, name)
+	}
+	d.starts.forget(now)
 	return update
 }
+
+// startedAt returns when an endpoint has started. Of one that is removed that is of no account.
+func (d *decoder) startedAt(now time.Duration, instance *Instance) time.Duration {
+	if instance.State == stateRemoved {
+		return 0
+	}
+	return d.starts.record(now, instance.ID, instance.StartedMS)
+}
--- /dev/null
+++ b/internal/discovery/start_times.go
@@ -0,0 +1,78 @@
+package discovery
+
+import "time"
+
+const (
+	// departedMemory is for how long the start of an endpoint that has left the list is remembered. It may come back
+	// after a partition without having started anew.
+	departedMemory = 5 * time.Minute
+
+	// maxDepartedStarts bounds what is remembered of endpoints that have left. One that is forgotten counts as started
+	// when it is listed again, which is the safe side.
+	maxDepartedStarts = 8192
+)
+
+// startTimes tells when the listed endpoints have started, on the gateway's own clock.
+//
+// Discovery gives start times by the wall clock of other machines. This machine's wall clock may differ from it by any
+// time: it may be wrong when the process starts, and be stepped while it runs. An endpoint that has just started must
+// not count as warm, for it would be overloaded, nor one that has run for long as just started for an hour. A start
+// time therefore serves as the name of a start alone: the endpoint counts as started when this process first learns of
+// it. That is never too early, and too late by as much as discovery takes or, for a new process, by the age of the
+// endpoint; it then has its full share once the warm-up has passed on the monotonic clock.
+type startTimes struct {
+	listed   map[string]startRecord
+	departed map[string]startRecord
+}
+
+// startRecord is what is known of an endpoint's latest start.
+type startRecord struct {
+	startedMS int64 // as discovery gives it
+	learntAt  time.Duration
+	unlisted  time.Duration // since when the endpoint has not been listed; of departed ones alone
+}
+
+func newStartTimes() startTimes {
+	return startTimes{listed: map[string]startRecord{}, departed: map[string]startRecord{}}
+}
+
+// record returns when an endpoint that is listed with a start time has started. 0 is long ago.
+func (s *startTimes) record(now time.Duration, name string, startedMS int64) time.Duration {
+	if startedMS <= 0 {
+		s.listed[name] = startRecord{}
+		return 0
+	}
+	known, ok := s.listed[name]
+	if !ok {
+		known, ok = s.departed[name]
+		delete(s.departed, name)
+	}
+	if !ok || known.startedMS != startedMS {
+		known = startRecord{startedMS: startedMS, learntAt: now}
+	}
+	s.listed[name] = known
+	return known.learntAt
+}
+
+// unlist notes that an endpoint has left the list.
+func (s *startTimes) unlist(now time.Duration, name string) {
+	known, ok := s.listed[name]
+	if !ok {
+		return
+	}
+	delete(s.listed, name)
+	if known.startedMS == 0 || len(s.departed) >= maxDepartedStarts {
+		return
+	}
+	known.unlisted = now
+	s.departed[name] = known
+}
+
+// forget drops what has been remembered for long enough.
+func (s *startTimes) forget(now time.Duration) {
+	for name, known := range s.departed {
+		if now-known.unlisted > departedMemory {
+			delete(s.departed, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/start_times_test.go
@@ -0,0 +1,89 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"springfield/policy"
+)
+
+// listed returns a list of endpoints with the given start times, in milliseconds, by their names.
+func listed(full bool, startedMS map[string]int64) EndpointList {
+	list := EndpointList{Full: full, Servers: []Instance{}}
+	for id, started := range startedMS {
+		list.Servers = append(list.Servers, Instance{ID: id, Addr: "127.0.0.1:1", State: stateUp, StartedMS: started})
+	}
+	return list
+}
+
+func startOf(t *testing.T, update Update) time.Duration {
+	t.Helper()
+	if len(update.Endpoints) != 1 {
+		t.Fatalf("%d endpoints", len(update.Endpoints))
+	}
+	return update.Endpoints[0].StartedAt
+}
+
+// The clock of this machine may be wrong by any time, before the process starts and while it runs: what a start time
+// says against it is not used. An endpoint counts as started when this process learns of the start.
+func TestStartTimeIsWhenTheStartIsLearnt(t *testing.T) {
+	now := time.Duration(time.Now().UnixNano())
+	for _, offset := range []time.Duration{-24 * time.Hour, -time.Hour, -5 * time.Second, 0, 5 * time.Second, time.Hour} {
+		t.Run(fmt.Sprint(offset), func(t *testing.T) {
+			decoder := newDecoder(nil)
+			started := (now + offset).Milliseconds()
+			first := decoder.update(now, policy.UpdateFull, listed(true, map[string]int64{"a": started}))
+			if got := startOf(t, first); got != now {
+				t.Errorf("in the first list: started %v after it", got-now)
+			}
+			later := now + 5*time.Second
+			again := decoder.update(later, policy.UpdateFull, listed(true, map[string]int64{"a": started}))
+			if got := startOf(t, again); got != now {
+				t.Errorf("listed again: started %v after the first list", got-now)
+			}
+			restarted := decoder.update(later, policy.UpdateDelta, listed(false, map[string]int64{"a": started + 1}))
+			if got := startOf(t, restarted); got != later {
+				t.Errorf("restarted: started %v after that", got-later)
+			}
+		})
+	}
+}
+
+// An endpoint without a start time has run for long.
+func TestEndpointWithoutStartTimeHasRunForLong(t *testing.T) {
+	decoder := newDecoder(nil)
+	update := decoder.update(time.Hour, policy.UpdateFull, listed(true, map[string]int64{"a": 0}))
+	if got := startOf(t, update); got != 0 {
+		t.Errorf("started at %v", got)
+	}
+}
+
+// An endpoint that was unlisted for a short time, as behind a partition, has not started anew.
+func TestStartIsRememberedWhileUnlisted(t *testing.T) {
+	decoder := newDecoder(nil)
+	now, started := time.Hour, map[string]int64{"a": 77}
+	decoder.update(now, policy.UpdateFull, listed(true, started))
+	decoder.update(now+time.Second, policy.UpdateFull, listed(true, nil))
+	update := decoder.update(now+time.Minute, policy.UpdateFull, listed(true, started))
+	if got := startOf(t, update); got != now {
+		t.Errorf("started %v after it was first listed", got-now)
+	}
+}
+
+// What is remembered of endpoints that have left does not grow without end.
+func TestDepartedStartsAreForgotten(t *testing.T) {
+	decoder := newDecoder(nil)
+	now := time.Hour
+	for i := range 5 * maxDepartedStarts {
+		decoder.update(now, policy.UpdateFull, listed(true, map[string]int64{fmt.Sprint(i): 1}))
+	}
+	if got := len(decoder.starts.departed); got > maxDepartedStarts {
+		t.Errorf("%d are remembered", got)
+	}
+	decoder.update(now+2*departedMemory, policy.UpdateFull, listed(true, nil))
+	decoder.update(now+4*departedMemory, policy.UpdateFull, listed(true, nil))
+	if departed, current := len(decoder.starts.departed), len(decoder.starts.listed); departed+current > 0 {
+		t.Errorf("%d and %d are remembered after a long time", departed, current)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	running.Go(func() { pool.Run(ctx) })
 
 	discoveryClient := discovery.NewClient(discovery.Options{
+		Clock:   gatewayClock,
 		Address: cfg.Discovery,
 		Zones:   cfg.Settings.Zones,
 		Pacing:  discovery.PacingFor(&cfg.Settings),
