--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -81,6 +81,17 @@
 	return count
 }
 
+// readAhead returns how many bytes have been read behind open requests, over all connections.
+func (l *connectionLimiter) readAhead() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := 0
+	for c := range l.conns {
+		sum += int(c.readAheadLength.Load())
+	}
+	return sum
+}
+
 // recordRead records that bytes of a request have been read. It reports false if the connection has been evicted.
 func (l *connectionLimiter) recordRead(c *clientConn) bool {
 	l.mu.Lock()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -90,3 +90,6 @@
 // ActiveConnections returns the number of connections on which a request has begun and is not answered yet. It is for
 // diagnostics.
 func (s *Server) ActiveConnections() int { return s.limiter.active() }
+
+// ReadAhead returns how many bytes have been read behind the requests that are open. It is for diagnostics.
+func (s *Server) ReadAhead() int { return s.limiter.readAhead() }
