--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -11,15 +12,13 @@
 )
 
 const (
-	// maxReadAhead bounds the bytes that are read ahead on a connection. The protocol's clients send one request at a
-	// time. A few short requests fit, and as many bytes again wait in net/http's own buffer.
+	// maxReadAhead bounds the bytes that are read ahead on a connection while a request is open. The protocol's clients
+	// send one request at a time, and what does not fit waits in the receive buffer.
 	maxReadAhead = 4 << 10
 
 	readAheadChunk = 512
 )
 
-var errReadAheadFull = errors.New("too many bytes follow an open request")
-
 // connectionState is what a connection is in the middle of, as far as its bytes have been read.
 type connectionState uint8
 
@@ -45,51 +44,128 @@
 	state connectionState
 	since time.Time // when the connection was accepted or became idle, or when unread bytes were last seen on it
 
-	readAhead       []byte       // read in the background and not passed on yet; owned by the reading goroutine
+	// The goroutine that serves the connection owns these, and its background reader while a request is open.
+	boundary  requestBoundary
+	headRead  bool      // the head of the present request is complete: a read of one byte is net/http's watch
+	headBy    time.Time // when the head of a further request must be complete; zero: none has begun
+	readAhead []byte    // read, and not passed on yet
+
 	readAheadLength atomic.Int32 // of readAhead, for other goroutines
 }
 
-// Read passes on the bytes that were read ahead before it reads the connection. Bytes that arrive while the connection
-// is being evicted are not read.
+// Read passes on the bytes that were read ahead before it reads the connection, and none of the next request. Bytes that
+// arrive while the connection is being evicted are not read.
 func (c *clientConn) Read(p []byte) (int, error) {
-	if len(p) == 1 {
+	if len(p) == 1 && c.headRead {
 		return 0, c.watch()
 	}
 	n := c.takeReadAhead(p)
 	var err error
 	if n == 0 {
-		n, err = c.TCPConn.Read(p)
+		n, err = c.readSocket(p)
 	}
 	if n == 0 {
 		return 0, err
 	}
-	if !c.limiter.recordRead(c) {
+	began, ok := c.limiter.recordRead(c)
+	if !ok {
 		return 0, net.ErrClosed
 	}
+	if began {
+		c.beginFurtherRequest()
+	}
 	return n, err
 }
 
+// advance returns how many of the bytes belong to the present request.
+func (c *clientConn) advance(bytes []byte) int {
+	n := c.boundary.advance(bytes)
+	c.headRead = c.boundary.phase != phaseHead
+	return n
+}
+
+// takeReadAhead passes on bytes of the present request that were read ahead.
 func (c *clientConn) takeReadAhead(p []byte) int {
-	n := copy(p, c.readAhead)
-	if n > 0 {
-		c.readAhead = append(c.readAhead[:0], c.readAhead[n:]...)
-		c.readAheadLength.Store(int32(len(c.readAhead)))
+	if len(c.readAhead) == 0 {
+		return 0
+	}
+	n := c.advance(c.readAhead[:min(len(p), len(c.readAhead))])
+	copy(p, c.readAhead[:n])
+	rest := c.readAhead[n:]
+	if len(rest) == 0 {
+		c.readAhead = nil // an idle connection holds no buffer
+	} else {
+		c.readAhead = append(c.readAhead[:0], rest...)
 	}
+	c.readAheadLength.Store(int32(len(rest)))
 	return n
 }
 
-// watch reads ahead until net/http ends that with a deadline, the client disconnects, or it sends too much.
+// readSocket reads the connection and keeps what belongs to the next request.
+func (c *clientConn) readSocket(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n <= 0 {
+		return 0, err
+	}
+	own := c.advance(p[:n])
+	c.keep(p[own:n])
+	return own, err
+}
+
+// keep appends bytes to those that were read ahead.
+func (c *clientConn) keep(bytes []byte) {
+	if len(bytes) == 0 {
+		return
+	}
+	c.readAhead = append(c.readAhead, bytes...)
+	c.readAheadLength.Store(int32(len(c.readAhead)))
+}
+
+// beginFurtherRequest limits the time for a head from its first byte on. net/http begins to count at the fourth, and
+// leaves the time of an idle connection for the bytes before it.
+func (c *clientConn) beginFurtherRequest() {
+	c.headBy = time.Now().Add(headerTimeout)
+	_ = c.TCPConn.SetReadDeadline(c.headBy) // fails only on a closed connection, on which reads end by themselves
+}
+
+// SetReadDeadline sets the time limit for reads. While the head of a further request is read that is at most headBy: a
+// deadline within headerTimeout is net/http's for the head, and a later one, or none, comes once the head is complete.
+func (c *clientConn) SetReadDeadline(deadline time.Time) error {
+	if !c.headBy.IsZero() {
+		if deadline.IsZero() || time.Until(deadline) > headerTimeout {
+			c.headBy = time.Time{}
+		} else if deadline.After(c.headBy) {
+			deadline = c.headBy
+		}
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// watch reads ahead until net/http ends that with a deadline or the client disconnects. Past maxReadAhead it reads no
+// more and goes on to watch.
 func (c *clientConn) watch() error {
 	var chunk [readAheadChunk]byte
 	for len(c.readAhead) <= maxReadAhead {
 		n, err := c.TCPConn.Read(chunk[:])
-		c.readAhead = append(c.readAhead, chunk[:n]...)
-		c.readAheadLength.Store(int32(len(c.readAhead)))
+		c.keep(chunk[:n])
 		if err != nil {
 			return err
 		}
 	}
-	return errReadAheadFull
+	return c.awaitDisconnect()
+}
+
+// awaitDisconnect waits until the client disconnects, without reading what it has sent, or until a deadline.
+func (c *clientConn) awaitDisconnect() error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	// The function is called again whenever the state of the socket changes.
+	if err := raw.Read(hasHungUp); err != nil {
+		return err
+	}
+	return io.EOF
 }
 
 // Close closes the connection and makes room for another.
@@ -98,14 +174,37 @@
 	return c.TCPConn.Close()
 }
 
-// claim is called when the head of a request is complete: from now on the connection is kept until the response. It
-// reports false if the connection has been evicted.
-func (c *clientConn) claim() bool { return c.limiter.claim(c) }
+// claim is called when the head of a request is complete, with the length of its body, below zero if that is not known:
+// from now on the connection is kept until the response. It reports false if the connection has been evicted.
+func (c *clientConn) claim(bodyLength int64) bool {
+	c.boundary.beginBody(bodyLength)
+	return c.limiter.claim(c)
+}
 
-// closedByClient reports whether the client has closed the connection and sent nothing unread before that.
+// beginIdle is called when a request has been answered and the connection is kept for another.
+func (c *clientConn) beginIdle() {
+	c.boundary.beginHead()
+	c.headRead = false
+	c.headBy = time.Time{}
+	c.limiter.beginIdle(c)
+}
+
+// closedByClient reports whether the client has closed the connection, or its sending side, also behind bytes that have
+// not been read.
 func (c *clientConn) closedByClient() bool {
 	n, err := c.peek()
-	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+	if n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) {
+		return true
+	}
+	if n == 0 {
+		return false // nothing waits, and nothing can hide the end
+	}
+	closed := false
+	raw, err := c.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { closed = hasHungUp(fd) })
+	}
+	return closed || err != nil
 }
 
 // hasUnread reports whether the client has sent bytes that net/http has not read. Closing the connection would reset
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -61,7 +61,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	receivedAt := h.clock.Now()
 	conn := connectionOf(r)
-	if conn != nil && !conn.claim() {
+	if conn != nil && !conn.claim(bodyLength(r)) {
 		panic(http.ErrAbortHandler) // evicted: nobody waits for a response
 	}
 	if err := checkFraming(r); err != nil {
@@ -69,7 +69,7 @@
 		return
 	}
 	if r.URL.Path == healthPath {
-		h.respondHealth(w)
+		h.respondHealth(w, r)
 		return
 	}
 	parsed, err := h.parser.parse(r, receivedAt)
@@ -97,6 +97,14 @@
 	h.serveCall(w, r, call, body)
 }
 
+// bodyLength returns the length of a request's body, or -1 if it has no definite one.
+func bodyLength(r *http.Request) int64 {
+	if checkFraming(r) != nil {
+		return -1
+	}
+	return r.ContentLength
+}
+
 // checkFraming rejects bodies without a definite length. Of a length beside a transfer coding net/http drops the length
 // without a trace, and the bytes after the last chunk may be another request. HTTP/1.0 has no transfer codings, and
 // net/http drops the coding there. The protocol's clients send lengths only.
@@ -115,14 +123,14 @@
 			result := command.Attempt.Do(newUpstreamRequest(r, body))
 			h.engine.FinishAttempt(call, result)
 			if result.Status == policy.StatusOK {
-				h.respond(w, http.StatusOK, result.Response)
+				h.respond(w, r, http.StatusOK, result.Response)
 				return
 			}
 		case eventloop.Reject:
-			h.respondRejected(w, command.RetryAfter)
+			h.respondRejected(w, r, command.RetryAfter)
 			return
 		case eventloop.Fail:
-			h.respond(w, http.StatusBadGateway, upstream.Response{})
+			h.respond(w, r, http.StatusBadGateway, upstream.Response{})
 			return
 		case eventloop.Abandon:
 			// net/http would send an empty response. A client that has closed only its sending side would take that
@@ -132,19 +140,19 @@
 	}
 }
 
-func (h *handler) respondHealth(w http.ResponseWriter) {
+func (h *handler) respondHealth(w http.ResponseWriter, r *http.Request) {
 	status := http.StatusOK
 	if !h.ready.Load() || h.draining.Load() {
 		status = http.StatusServiceUnavailable
 	}
-	h.respond(w, status, upstream.Response{})
+	h.respond(w, r, status, upstream.Response{})
 }
 
-func (h *handler) respondRejected(w http.ResponseWriter, retryAfter time.Duration) {
+func (h *handler) respondRejected(w http.ResponseWriter, r *http.Request, retryAfter time.Duration) {
 	if retryAfter > 0 {
 		w.Header()["Retry-After"] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}
 	}
-	h.respond(w, http.StatusServiceUnavailable, upstream.Response{})
+	h.respond(w, r, http.StatusServiceUnavailable, upstream.Response{})
 }
 
 // respondError responds to a bad request and closes its connection: where the next request begins is uncertain.
@@ -158,14 +166,15 @@
 		// If it fails, the connection is broken and the response is lost anyway.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(errorReadTimeout))
 	}
-	h.respond(w, status, upstream.Response{})
+	h.respond(w, r, status, upstream.Response{})
 }
 
 // respond writes a complete response. In a drain it is the last one on its connection, even to a request that came
-// before: what the client sent next might reach nobody. The same holds while there are too many connections.
-func (h *handler) respond(w http.ResponseWriter, status int, response upstream.Response) {
+// before: what the client sent next might reach nobody. The same holds while there are too many connections. A further
+// request that the client has sent already, or a part of one, is answered first: it was accepted.
+func (h *handler) respond(w http.ResponseWriter, r *http.Request, status int, response upstream.Response) {
 	header := w.Header()
-	if h.draining.Load() || h.limiter.excess() > 0 {
+	if (h.draining.Load() || h.limiter.excess() > 0) && !furtherRequestBegun(r) {
 		header["Connection"] = connectionClose
 	}
 	header["Date"] = nil // suppressed: it costs more CPU than it is worth
@@ -178,6 +187,12 @@
 	_, _ = w.Write(response.Body) // if it fails, net/http closes the connection
 }
 
+// furtherRequestBegun reports whether the client has sent anything behind the request.
+func furtherRequestBegun(r *http.Request) bool {
+	conn := connectionOf(r)
+	return conn != nil && conn.hasUnread()
+}
+
 // openRequests are the ids of the requests that are not answered yet. An endpoint would take a second request with the
 // id of an open one for a copy of it, whoever sent it.
 type openRequests struct {
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -92,8 +92,9 @@
 	return sum
 }
 
-// recordRead records that bytes of a request have been read. It reports false if the connection has been evicted.
-func (l *connectionLimiter) recordRead(c *clientConn) bool {
+// recordRead records that bytes of a request have been read. It reports whether they are the first of a further
+// request, and false for ok if the connection has been evicted.
+func (l *connectionLimiter) recordRead(c *clientConn) (began, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch c.state {
@@ -101,10 +102,11 @@
 		c.state = stateReadingHead
 	case stateIdle:
 		c.state = stateActive
+		return true, true
 	case stateEvicted:
-		return false
+		return false, false
 	}
-	return true
+	return false, true
 }
 
 func (l *connectionLimiter) claim(c *clientConn) bool {
@@ -118,11 +120,13 @@
 }
 
 // trackState is the http.Server's ConnState hook.
-func (l *connectionLimiter) trackState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*clientConn)
-	if !ok || state != http.StateIdle {
-		return
+func trackState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*clientConn); ok && state == http.StateIdle {
+		c.beginIdle()
 	}
+}
+
+func (l *connectionLimiter) beginIdle(c *clientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.state == stateActive {
--- a/internal/frontend/limiter_test.go
+++ b/internal/frontend/limiter_test.go
@@ -45,10 +45,10 @@
 // makeIdle lets a connection serve one request.
 func makeIdle(t *testing.T, conn *clientConn) {
 	t.Helper()
-	if !conn.claim() {
+	if !conn.claim(0) {
 		t.Fatal("the connection is evicted")
 	}
-	conn.limiter.trackState(conn, http.StateIdle)
+	trackState(conn, http.StateIdle)
 }
 
 // readSome reads what the client has sent, at least one byte.
@@ -115,7 +115,7 @@
 		testkit.Eventually(t, "the bytes", c.hasUnread)
 		return unread
 	}
-	if !limiter.evict(late) || conn.claim() {
+	if !limiter.evict(late) || conn.claim(0) {
 		t.Error("not evicted though it is idle")
 	}
 	if n, err := conn.Read(make([]byte, bufferSize)); n != 0 || err == nil {
@@ -128,7 +128,7 @@
 	listener := newTestListener(t)
 	limiter, late := listener.limiter, time.Now().Add(time.Hour)
 	active, _ := acceptOne(t, listener)
-	if !active.claim() {
+	if !active.claim(0) {
 		t.Fatal("the active connection is evicted")
 	}
 	idle, _ := acceptOne(t, listener)
@@ -158,11 +158,11 @@
 	if limiter.drained(now, false) {
 		t.Error("the drain ended while a head was incomplete")
 	}
-	if !conn.claim() || limiter.drained(now, true) {
+	if !conn.claim(0) || limiter.drained(now, true) {
 		t.Error("the drain ended during a request")
 	}
 	conn.state = stateReadingHead
-	if !limiter.drained(now, true) || conn.claim() {
+	if !limiter.drained(now, true) || conn.claim(0) {
 		t.Error("a request was accepted after the end of the drain")
 	}
 	if _, err := client.Reader.ReadByte(); !errors.Is(err, io.EOF) {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -42,7 +42,7 @@
 	return &Server{
 		http: &http.Server{
 			Handler:           handler,
-			ConnState:         limiter.trackState,
+			ConnState:         trackState,
 			ConnContext:       withConnection,
 			ReadHeaderTimeout: headerTimeout,
 			ReadTimeout:       options.LongestDeadline + transferMargin,
