--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -16,6 +16,7 @@
 	"springfield/internal/config"
 	"springfield/internal/gateway"
 	"springfield/internal/logging"
+	"springfield/internal/oserror"
 )
 
 const (
@@ -56,7 +57,11 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := config.Load(os.Getenv)
+	var cfg *config.Config
+	err := oserror.RetryShortage(ctx, func() (err error) {
+		cfg, err = config.Load(os.Getenv)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/baseline/gateway.go
+++ b/internal/baseline/gateway.go
@@ -166,7 +166,8 @@
 	}
 	r.inFlight.inFlight--
 	switch result.Status {
-	case policy.StatusOK, policy.StatusRejected, policy.StatusConnectFailed, policy.StatusNotSent:
+	case policy.StatusOK, policy.StatusRejected, policy.StatusConnectFailed, policy.StatusNotSent,
+		policy.StatusLocalFailure:
 	default:
 		if r.mayHaveRunOn == nil {
 			r.mayHaveRunOn, r.mayHaveRunAt = r.inFlight, r.sentAt
--- a/internal/emulator/invariant/request.go
+++ b/internal/emulator/invariant/request.go
@@ -23,7 +23,7 @@
 		return true
 	}
 	switch a.status {
-	case policy.StatusRejected, policy.StatusConnectFailed, policy.StatusNotSent:
+	case policy.StatusRejected, policy.StatusConnectFailed, policy.StatusNotSent, policy.StatusLocalFailure:
 		return false
 	default:
 		return true
--- a/internal/frontend/accept_errors.go
+++ b/internal/frontend/accept_errors.go
@@ -27,11 +27,6 @@
 	return false
 }
 
-// lacksDescriptors reports whether accept has failed since the process or the machine has too many open files.
-func lacksDescriptors(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-}
-
 // acceptRetry paces the calls of accept while they fail, and counts the failures.
 type acceptRetry struct {
 	failures atomic.Uint64 // in all
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"springfield/internal/oserror"
 )
 
 const (
@@ -102,7 +104,7 @@
 		case acceptIsOver(err):
 			return nil, err
 		default:
-			if lacksDescriptors(err) {
+			if oserror.IsShortage(err) {
 				l.limiter.evict(time.Now())
 			}
 			l.retry.wait(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"springfield/internal/discovery"
 	"springfield/internal/eventloop"
 	"springfield/internal/frontend"
+	"springfield/internal/oserror"
 	"springfield/internal/upstream"
 )
 
@@ -42,7 +43,11 @@
 // Run serves clients until ctx ends. Then it drains: it goes on accepting connections for a short time, answers every
 // request that it has accepted, and returns. At each signal on reload it reads its configuration again.
 func Run(ctx context.Context, cfg *config.Config, reload <-chan os.Signal) error {
-	listener, err := net.Listen("tcp", cfg.Listen)
+	var listener net.Listener
+	err := oserror.RetryShortage(ctx, func() (err error) {
+		listener, err = net.Listen("tcp", cfg.Listen)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
--- /dev/null
+++ b/internal/oserror/oserror_test.go
@@ -0,0 +1,73 @@
+package oserror_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"springfield/internal/oserror"
+)
+
+func TestErrorsAreTold(t *testing.T) {
+	wrap := func(errno syscall.Errno) error {
+		return fmt.Errorf("dial: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", errno)})
+	}
+	for _, test := range []struct {
+		err             error
+		local, shortage bool
+	}{
+		{wrap(syscall.EMFILE), true, true},
+		{wrap(syscall.ENFILE), true, true},
+		{wrap(syscall.ENOBUFS), true, true},
+		{wrap(syscall.ENOMEM), true, true},
+		{wrap(syscall.EADDRNOTAVAIL), true, false},
+		{wrap(syscall.ENETUNREACH), true, false},
+		{wrap(syscall.ECONNREFUSED), false, false},
+		{wrap(syscall.EHOSTUNREACH), false, false},
+		{wrap(syscall.ETIMEDOUT), false, false},
+		{os.ErrDeadlineExceeded, false, false},
+		{errors.New("other"), false, false},
+		{nil, false, false},
+	} {
+		if local, shortage := oserror.IsLocal(test.err), oserror.IsShortage(test.err); local != test.local ||
+			shortage != test.shortage {
+			t.Errorf("%v: local %v, shortage %v", test.err, local, shortage)
+		}
+	}
+}
+
+// A shortage is waited out, another error is not, and neither goes on for ever.
+func TestRetryShortage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		failing := func(failures int, err error) func() error {
+			calls = 0
+			return func() error {
+				if calls++; calls <= failures {
+					return err
+				}
+				return nil
+			}
+		}
+		const many = 1_000_000
+		if err := oserror.RetryShortage(t.Context(), failing(20, syscall.ENOBUFS)); err != nil || calls != 21 {
+			t.Errorf("%v after %d calls", err, calls)
+		}
+		if err := oserror.RetryShortage(t.Context(), failing(1, syscall.EADDRINUSE)); err == nil || calls != 1 {
+			t.Errorf("%v after %d calls", err, calls)
+		}
+		if err := oserror.RetryShortage(t.Context(), failing(many, syscall.EMFILE)); err == nil || calls >= many {
+			t.Errorf("%v after %d calls", err, calls)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if err := oserror.RetryShortage(ctx, failing(many, syscall.EMFILE)); err == nil || calls != 1 {
+			t.Errorf("%v after %d calls with an ended context", err, calls)
+		}
+	})
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -108,7 +108,7 @@
 	if written < len(encoded) {
 		a.stopSending()
 		a.endpoint.pool.closeConnection(c)
-		return Result{Status: policy.StatusConnectFailed} // an incomplete request can't have run
+		return Result{Status: connectStatus(err)} // an incomplete request can't have run
 	}
 	var result Result
 	var keep bool
@@ -127,7 +127,7 @@
 	case aborted:
 		return Result{Status: abortStatus}
 	default:
-		return Result{Status: policy.StatusReset}
+		return Result{Status: brokenStatus(err)}
 	}
 }
 
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"springfield/internal/oserror"
 	"springfield/policy"
 )
 
@@ -19,11 +20,24 @@
 	errAmbiguousLength = errors.New("the length of the response is ambiguous")
 )
 
-// connectStatus maps an error of Attempt.connect to the status of the attempt. A full pool is the gateway's
-// own limit and no fault of the endpoint.
+// connectStatus maps an error before the last byte of a request to the status of the attempt. A full pool is the
+// gateway's own limit and, as a failure of this machine, no fault of the endpoint.
 func connectStatus(err error) policy.Status {
-	if errors.Is(err, errPoolFull) || errors.Is(err, errAttemptAborted) {
+	switch {
+	case errors.Is(err, errPoolFull) || errors.Is(err, errAttemptAborted):
 		return policy.StatusNotSent
+	case oserror.IsLocal(err):
+		return policy.StatusLocalFailure
+	default:
+		return policy.StatusConnectFailed
 	}
-	return policy.StatusConnectFailed
+}
+
+// brokenStatus maps an error after the last byte of a request to the status of the attempt: it may have run. A failure
+// of this machine is not held against the endpoint.
+func brokenStatus(err error) policy.Status {
+	if oserror.IsLocal(err) {
+		return policy.StatusCancelled
+	}
+	return policy.StatusReset
 }
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -137,9 +137,12 @@
 	if current {
 		r.endAttempt(result.Status)
 	}
-	if result.RequestDone {
+	switch {
+	case result.RequestDone:
 		e.removeRequest(r)
-	} else if current {
+	case current && result.Status == StatusLocalFailure:
+		e.retryOrHold(now, r)
+	case current:
 		e.retryOrFinish(now, r)
 	}
 }
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -14,7 +14,7 @@
 func (e *Engine) recordResult(now time.Duration, ep *endpoint, res AttemptResult, units float64, r *request) {
 	status := res.Status
 	lost := r != nil && status == StatusTimedOut && r.sentAt < ep.newestAnswered
-	if r != nil && status != StatusCancelled && status != StatusNotSent && !lost {
+	if r != nil && status.tellsOfEndpoint() && !lost {
 		late := res.Latency.Seconds() > endpointLateThreshold*r.class.LatencyObjective.Seconds()
 		// Failures lower the limit like lateness: an endpoint that fails a part of its work fast has capacity
 		// all the time, and may never fail often enough in a row to be ejected.
@@ -32,12 +32,21 @@
 		ep.lastResponse, ep.measuredAt = now, now
 		ep.latencyPerUnit = max(ep.latencyPerUnit, e.latencyPerUnit) * rejectionPenalty
 		e.recordFailure(now, ep) // it may be draining, seconds before the endpoint list says so
+	case StatusLocalFailure:
+		// Nothing is held against it but in comparison: if it alone cannot be reached from here, others are preferred.
+		ep.measuredAt = now
+		ep.latencyPerUnit = max(ep.latencyPerUnit, e.latencyPerUnit) * rejectionPenalty
 	case StatusServerError, StatusConnectFailed, StatusReset:
 		ep.lastResponse = now
 		e.recordFailure(now, ep)
 	}
 }
 
+// tellsOfEndpoint reports whether an attempt that ended so says something of its endpoint.
+func (s Status) tellsOfEndpoint() bool {
+	return s != StatusCancelled && s != StatusNotSent && s != StatusLocalFailure
+}
+
 // recordFailure ejects an endpoint at its first failure, since a healthy one makes next to none, for a time
 // that doubles; but never so many endpoints that the rest would be overloaded.
 func (e *Engine) recordFailure(now time.Duration, ep *endpoint) {
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -11,13 +11,33 @@
 
 // endAttempt notes that the attempt in flight has ended, and whether it may have been executed.
 func (r *request) endAttempt(status Status) {
-	neverRan := status == StatusRejected || status == StatusConnectFailed || status == StatusNotSent
-	if !neverRan && status != StatusOK && r.mayHaveRunOn == nil {
+	if !status.neverRan() && status != StatusOK && r.mayHaveRunOn == nil {
 		r.mayHaveRunOn, r.mayHaveRunAt = r.inFlight, r.sentAt
 	}
 	r.inFlight = nil
 }
 
+// neverRan reports whether an attempt that ended so was certainly not executed.
+func (s Status) neverRan() bool {
+	switch s {
+	case StatusRejected, StatusConnectFailed, StatusNotSent, StatusLocalFailure:
+		return true
+	default:
+		return false
+	}
+}
+
+// retryOrHold goes on after an attempt that failed on this machine. No endpoint was asked, so that it costs nothing of
+// the retry budget; but the next attempt would fail at once in the same way, so it waits for a moment first.
+func (e *Engine) retryOrHold(now time.Duration, r *request) {
+	delay := r.class.LatencyObjective / queueRetries
+	if e.attemptsExhausted(r) || now+delay+e.expectedLatency(r.Units) >= r.deadline {
+		e.finish(r)
+		return
+	}
+	e.hold(r, delay)
+}
+
 // retryOrFinish retries where rules, time and the retry budget allow it.
 func (e *Engine) retryOrFinish(now time.Duration, r *request) {
 	if r.deadline-now <= e.expectedLatency(r.Units) || e.retryTokens < 1 || e.attemptsExhausted(r) {
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -94,3 +94,73 @@
 		t.Errorf("limit %v, before %v: %v", ep.limit, limitBefore, gateway.log)
 	}
 }
+
+// A failure of the gateway's own machine costs no endpoint anything, nor the retry budget: the request waits for a
+// moment and is tried again, also one that must not run twice.
+func TestLocalFailureIsRetriedWithoutEjection(t *testing.T) {
+	for _, class := range []int{idempotentClass, keyedClass, nonIdempotentClass} {
+		gateway := start(config(), 4)
+		engine := gateway.engine
+		engine.retryTokens = 0
+		gateway.submit(1, class, unknownPlan, 1)
+		const failures = 3
+		for range failures {
+			before := len(gateway.forwarded)
+			gateway.finish(1, StatusLocalFailure, noUsage)
+			if len(gateway.forwarded) != before {
+				t.Errorf("class %d: tried again at once", class)
+			}
+			gateway.advance(engine.cfg.Classes[class].LatencyObjective / queueRetries)
+		}
+		if len(gateway.forwarded) != failures+1 {
+			t.Errorf("class %d: %v", class, gateway.log)
+		}
+		for _, ep := range engine.endpointList {
+			if ep.ejected {
+				t.Errorf("class %d: endpoint %d is ejected", class, ep.ID)
+			}
+		}
+		gateway.finish(1, StatusOK, noUsage)
+		if engine.inFlight != 0 || len(engine.requests) != 0 {
+			t.Errorf("class %d: %d attempts and %d requests are left", class, engine.inFlight, len(engine.requests))
+		}
+	}
+}
+
+// A failure that lasts ends in a rejection in time, which promises that nothing has run.
+func TestLocalFailureThatLastsIsRejectedInTime(t *testing.T) {
+	cfg := config()
+	cfg.MaxAttempts = 0
+	gateway := start(cfg, 2)
+	gateway.submit(1, nonIdempotentClass, unknownPlan, 1)
+	deadline := gateway.engine.requests[1].deadline
+	for len(gateway.rejected) == 0 && gateway.now < deadline {
+		if gateway.engine.requests[1].inFlight != nil {
+			gateway.finish(1, StatusLocalFailure, noUsage)
+		}
+		gateway.advance(time.Millisecond)
+	}
+	if len(gateway.rejected) != 1 || gateway.now >= deadline {
+		t.Errorf("%v rejected, %v failed after %v of %v", gateway.rejected, gateway.failed, gateway.now, deadline)
+	}
+}
+
+// An endpoint that alone cannot be reached from this machine is avoided.
+func TestEndpointThatAloneFailsLocallyIsAvoided(t *testing.T) {
+	const requests = 40
+	gateway := start(config(), 2)
+	unreachable, met := EndpointID(1), 0
+	for id := RequestID(1); id <= requests; id++ {
+		gateway.submit(id, idempotentClass, unknownPlan, 1)
+		for gateway.lastForwarded().endpoint == unreachable {
+			met++
+			gateway.finish(id, StatusLocalFailure, noUsage)
+			gateway.advance(gateway.engine.cfg.Classes[idempotentClass].LatencyObjective / queueRetries)
+		}
+		gateway.finish(id, StatusOK, noUsage)
+		gateway.advance(10 * time.Millisecond)
+	}
+	if met > requests/4 {
+		t.Errorf("tried %d times for %d requests", met, requests)
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -104,6 +104,7 @@
 	StatusReset                       // connection lost; may have been executed
 	StatusCancelled                   // given up by the gateway; may have been executed
 	StatusNotSent                     // never sent
+	StatusLocalFailure                // never sent, since the gateway's machine lacked something for a moment
 )
 
 // LoadReport is an endpoint's load report. A value that is not reported is below 0. The present policy does
