--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -41,6 +41,8 @@
 	signal.Ignore(syscall.SIGPIPE)
 	log := logging.NewWriter(os.Stderr)
 	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	// This line and the next ones of a start tell how far a process has come that does not get ready.
+	slog.Info("starting", "pid", os.Getpid(), "procs", runtime.GOMAXPROCS(0))
 	err := run()
 	if err != nil {
 		slog.Error("gateway failed", "err", err)
@@ -65,7 +67,8 @@
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(maxProcs)
+	slog.Info("configuration loaded", "name", cfg.Name, "endpoints", len(cfg.Known.Servers))
+	runtime.GOMAXPROCS(maxProcs) // does nothing where the environment has set it
 	debug.SetGCPercent(gcPercent)
 	if cfg.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB) * bytesPerMB))
--- a/cmd/gateway/signal_test.go
+++ b/cmd/gateway/signal_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"syscall"
 	"testing"
 
@@ -99,3 +100,22 @@
 		t.Errorf("%v; log: %s", err, rest)
 	}
 }
+
+// A SIGHUP that comes before the program handles signals does not end it, since the deploy file starts it with SIGHUP
+// ignored; from then on SIGHUP reloads the configuration all the same.
+func TestSIGHUPIgnoredAtTheStartReloadsLater(t *testing.T) {
+	one, two := testkit.NewRegistry(t), testkit.NewRegistry(t)
+	file := writeConfig(t, oneEndpointConfig(one.Address(), "127.0.0.1:1"))
+	gateway := startProgramWith(t, file, func(command *exec.Cmd) *os.File {
+		command.Path, command.Args = "/bin/sh", []string{"sh", "-c", `trap '' HUP; kill -HUP $$; exec "$0"`, command.Path}
+		stderr, err := command.StderrPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return stderr.(*os.File)
+	})
+	testkit.Receive(t, "a watch at the first address", one.Watches)
+	replaceConfig(t, file, oneEndpointConfig(two.Address(), "127.0.0.1:1"))
+	gateway.signal(syscall.SIGHUP)
+	testkit.Receive(t, "a watch at the second address", two.Watches)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	go func() { served <- parts.server.Serve(listener) }()
 	awaitFirstList(ctx, parts.discovery)
 	parts.server.SetReady()
+	slog.Info("ready")
 
 	select {
 	case err := <-served:
