--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -86,11 +86,12 @@
 	return nil
 }
 
-// Follow reloads the configuration at each signal until ctx ends, and passes each one that can be used to apply. It
-// reads a file that cannot be used again for a short time. Each file is compared with the current configuration of the
-// start, since only the address of discovery is taken over from a new one.
-func Follow(ctx context.Context, current *Config, signals <-chan os.Signal, apply func(*Config)) {
+// Follow reloads the configuration at each signal until ctx ends, and passes each one that can be used to apply, with the
+// time of the signal that asked for it. It reads a file that cannot be used again for a short time. Each file is compared
+// with the current configuration of the start, since only the address of discovery is taken over from a new one.
+func Follow(ctx context.Context, current *Config, signals <-chan os.Signal, apply func(*Config, time.Time)) {
 	var reread <-chan time.Time // nil: no reread is due
+	var askedAt time.Time       // when the first signal came that has not been served; zero: all have been
 	rereads := 0
 	for {
 		select {
@@ -98,6 +99,9 @@
 			return
 		case <-signals:
 			rereads = 0
+			if askedAt.IsZero() {
+				askedAt = time.Now()
+			}
 		case <-reread:
 			rereads++
 		}
@@ -105,7 +109,8 @@
 		fresh, err := current.Reload()
 		if err == nil {
 			slog.Info("configuration reloaded", "discovery", fresh.Discovery)
-			apply(fresh)
+			apply(fresh, askedAt)
+			askedAt = time.Time{}
 			continue
 		}
 		if rereads == 0 {
@@ -113,6 +118,8 @@
 		}
 		if rereads < maxRereads {
 			reread = time.After(rereadInterval)
+		} else {
+			askedAt = time.Time{}
 		}
 	}
 }
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	signals, applied, ended := make(chan os.Signal), make(chan *Config, 1), make(chan struct{})
 	go func() {
-		Follow(ctx, current, signals, func(fresh *Config) { applied <- fresh })
+		Follow(ctx, current, signals, func(fresh *Config, _ time.Time) { applied <- fresh })
 		close(ended)
 	}()
 	t.Cleanup(func() { cancel(); testkit.WaitFor(t, "the end of Follow", ended) })
@@ -102,7 +102,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		signals, applied, ended := make(chan os.Signal), make(chan *Config, 1), make(chan struct{})
 		go func() {
-			Follow(ctx, current, signals, func(fresh *Config) { applied <- fresh })
+			Follow(ctx, current, signals, func(fresh *Config, _ time.Time) { applied <- fresh })
 			close(ended)
 		}()
 		writeFile(t, path, "{")
@@ -169,3 +169,39 @@
 		t.Errorf("%+v, %v", fresh, err)
 	}
 }
+
+// A configuration that is complete only after rereads counts from the first signal that asked for it: the time that the
+// rereads take is missing later. The next signal begins anew.
+func TestReloadTellsWhenItWasAskedFor(t *testing.T) {
+	path := newFile(t, fileFor("n1", "127.0.0.1:1", "lookup"))
+	current, err := read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		signals, applied, ended := make(chan os.Signal), make(chan time.Time, 1), make(chan struct{})
+		go func() {
+			Follow(ctx, current, signals, func(_ *Config, askedAt time.Time) { applied <- askedAt })
+			close(ended)
+		}()
+		writeFile(t, path, "{")
+		first := time.Now()
+		signals <- os.Interrupt
+		time.Sleep(maxRereads / 2 * rereadInterval)
+		signals <- os.Interrupt
+		time.Sleep(maxRereads / 2 * rereadInterval)
+		writeFile(t, path, fileFor("n1", "127.0.0.1:2", "lookup"))
+		if askedAt := <-applied; !askedAt.Equal(first) {
+			t.Errorf("asked for %v after the first signal", askedAt.Sub(first))
+		}
+		time.Sleep(time.Minute)
+		second := time.Now()
+		signals <- os.Interrupt
+		if askedAt := <-applied; !askedAt.Equal(second) {
+			t.Errorf("then asked for %v before the signal", second.Sub(askedAt))
+		}
+		cancel()
+		<-ended
+	})
+}
--- a/internal/config/timeouts.go
+++ b/internal/config/timeouts.go
@@ -34,11 +34,16 @@
 	return serverTimeout * 3 / 5
 }
 
-// LongestDeadline returns the longest time that a client of any class waits for its response.
+// LongestDeadline returns the longest time that a client of any class waits for its response. Where a class has no
+// deadline of its own, requests state one, up to settings.MaxDeadline.
 func (c *Config) LongestDeadline() time.Duration {
 	var longest time.Duration
 	for i := range c.Settings.Classes {
-		longest = max(longest, settings.Duration(c.Settings.Classes[i].HardLimitMs))
+		deadline := settings.Duration(c.Settings.Classes[i].HardLimitMs)
+		if deadline <= 0 {
+			return settings.MaxDeadline
+		}
+		longest = max(longest, deadline)
 	}
 	return longest
 }
--- a/internal/config/timeouts_test.go
+++ b/internal/config/timeouts_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"springfield/internal/settings"
 )
 
 // A request with an idempotency key may be sent again only while endpoints discard the key, counted up to the first
@@ -23,6 +25,10 @@
 		c.LongestDeadline() != 8*time.Second {
 		t.Errorf("dial %v, idle %v, deadline %v", c.DialTimeout(), c.UpstreamIdleTimeout(), c.LongestDeadline())
 	}
+	c.Settings.Classes[0].HardLimitMs = 0
+	if c.LongestDeadline() != settings.MaxDeadline {
+		t.Errorf("a class without a limit: deadline %v", c.LongestDeadline())
+	}
 	c.Settings.Limits.DialTimeoutMs, c.Settings.Limits.ConnIdleMs = 100, 5000
 	if c.DialTimeout() != 100*time.Millisecond || c.UpstreamIdleTimeout() != 3*time.Second {
 		t.Errorf("as set: dial %v, idle %v", c.DialTimeout(), c.UpstreamIdleTimeout())
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -77,6 +77,7 @@
 
 	mu           sync.Mutex
 	url          string             // of discovery as it is configured now
+	migratedAt   time.Time          // when the migration to url was asked for; zero: there was none
 	cancelFollow context.CancelFunc // ends the present attempt, so that the next one uses url
 }
 
@@ -106,13 +107,13 @@
 // FirstResponse returns a channel that is closed when discovery has first answered.
 func (c *Client) FirstResponse() <-chan struct{} { return c.firstResponse }
 
-// Migrate makes the client follow discovery at another address from now on. The endpoint list stays in force until the
-// complete list has been read there.
-func (c *Client) Migrate(address string) {
+// Migrate makes the client follow discovery at another address from now on, as was asked for at the given time. The
+// endpoint list stays in force until the complete list has been read there.
+func (c *Client) Migrate(address string, askedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if url := instancesURL(address); url != c.url {
-		c.url = url
+		c.url, c.migratedAt = url, askedAt
 		c.cancelFollow()
 	}
 }
@@ -146,9 +147,13 @@
 	pause := c.jitter(c.pacing.boundAtStart(c.listURL != ""))
 	previousURL := c.listURL
 	for ctx.Err() == nil {
-		followCtx, url := c.beginFollow(ctx)
+		followCtx, url, migratedAt := c.beginFollow(ctx)
 		if url != previousURL { // the first attempt without a list, or a migration
-			backoff, pause, previousURL = c.pacing.initialBackoff, c.jitter(c.pacing.boundAtMigration()), url
+			elapsed := time.Duration(0)
+			if !migratedAt.IsZero() {
+				elapsed = time.Since(migratedAt)
+			}
+			backoff, pause, previousURL = c.pacing.initialBackoff, c.jitter(c.pacing.boundAtMigration(elapsed)), url
 			c.http.CloseIdleConnections()
 		}
 		select {
@@ -168,13 +173,14 @@
 	}
 }
 
-// beginFollow returns the configured URL and a context that ends when the client migrates to another one.
-func (c *Client) beginFollow(ctx context.Context) (followCtx context.Context, url string) {
+// beginFollow returns the configured URL, when the migration to it was asked for, and a context that ends when the client
+// migrates to another one.
+func (c *Client) beginFollow(ctx context.Context) (followCtx context.Context, url string, migratedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancelFollow() // releases the context of the attempt before
 	followCtx, c.cancelFollow = context.WithCancel(ctx)
-	return followCtx, c.url
+	return followCtx, c.url, c.migratedAt
 }
 
 // jitter returns a random duration below the bound ("full jitter"), or 0 if the bound is 0.
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"springfield/internal/testkit"
 	"springfield/policy"
@@ -26,7 +27,7 @@
 	sink.next(t)
 	testkit.Receive(t, "a watch", old.Watches)
 	release := fresh.HoldLists()
-	client.Migrate(fresh.Address())
+	client.Migrate(fresh.Address(), time.Now())
 	select {
 	case update := <-sink.updates:
 		t.Errorf("update before the list is complete: %+v", update)
--- a/internal/discovery/pacing.go
+++ b/internal/discovery/pacing.go
@@ -22,8 +22,8 @@
 	// maxPause bounds any pause: the share of notifiedAfter where nothing else has used part of it.
 	maxPause = time.Duration(pauseShare * float64(notifiedAfter))
 
-	// maxMigrationPause bounds the pause before the first call at a new address. Its list counts as notified 4 s
-	// after SIGHUP (FLEET.md); the rest of that time is for reading the configuration and for the call.
+	// maxMigrationPause bounds the time from SIGHUP to the first call at a new address, rereads of the configuration
+	// included. The list there counts as notified 4 s after SIGHUP (FLEET.md); the rest is for the call.
 	maxMigrationPause = 2 * time.Second
 )
 
@@ -96,12 +96,13 @@
 	return p.initialBackoff
 }
 
-// boundAtMigration bounds the pause before the first call at a new address: the whole fleet migrates at once.
-func (p Pacing) boundAtMigration() time.Duration {
+// boundAtMigration bounds the pause before the first call at a new address, given the time since it was asked for: the
+// whole fleet migrates at once.
+func (p Pacing) boundAtMigration(elapsed time.Duration) time.Duration {
 	if !p.shared {
 		return 0
 	}
-	return min(p.initialBackoff, maxMigrationPause)
+	return max(0, min(p.initialBackoff, maxMigrationPause-elapsed))
 }
 
 // boundAfterBreak bounds the pause after a watch has ended, given the time since its last line.
--- a/internal/discovery/pacing_test.go
+++ b/internal/discovery/pacing_test.go
@@ -23,7 +23,7 @@
 
 func (c *Client) startPause() time.Duration { return c.jitter(c.pacing.boundAtStart(c.listURL != "")) }
 
-func (c *Client) migrationPause() time.Duration { return c.jitter(c.pacing.boundAtMigration()) }
+func (c *Client) migrationPause() time.Duration { return c.jitter(c.pacing.boundAtMigration(0)) }
 
 // What a broken watch misses counts as notified 6 s after it broke, which may be right after its last line. The
 // silence, the pause and the time for the call have to fit in.
@@ -72,6 +72,10 @@
 	if migrated := client.migrationPause() + callDuration; migrated > 4*time.Second {
 		return fmt.Errorf("notified %v after its migration", migrated)
 	}
+	const rereads = 2 * time.Second // of a configuration that is being written
+	if migrated := rereads + client.pacing.boundAtMigration(rereads) + callDuration; migrated > 3*time.Second {
+		return fmt.Errorf("notified %v after a migration whose configuration was read late", migrated)
+	}
 	backoff := client.pacing.initialBackoff
 	for failure := range 12 {
 		for _, failed := range []time.Duration{0, 20 * time.Millisecond, time.Second, watchTimeout} {
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -18,10 +18,9 @@
 	// way before it was received, and so is its response.
 	responseMargin = 20 * time.Millisecond
 
-	maxDeadline    = time.Hour // of a class without a deadline of its own
-	maxIDBytes     = 128       // of a request id or an idempotency key
-	customerDigits = 16        // hexadecimal
-	customerLimit  = 1 << 33   // customer numbers are below this
+	maxIDBytes     = 128     // of a request id or an idempotency key
+	customerDigits = 16      // hexadecimal
+	customerLimit  = 1 << 33 // customer numbers are below this
 	maxNumberBytes = 20
 )
 
@@ -189,7 +188,7 @@
 	}
 	nanoseconds := seconds * float64(time.Second)
 	if nanoseconds < float64(classDeadline) || classDeadline <= 0 {
-		return time.Duration(min(nanoseconds, float64(maxDeadline))), nil
+		return time.Duration(min(nanoseconds, float64(settings.MaxDeadline))), nil
 	}
 	return classDeadline, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,9 @@
 	discoveryClient.PublishCached(ctx, cfg.Known)
 	running.Go(func() { discoveryClient.Run(ctx) })
 	running.Go(func() {
-		config.Follow(ctx, cfg, reload, func(fresh *config.Config) { discoveryClient.Migrate(fresh.Discovery) })
+		config.Follow(ctx, cfg, reload, func(fresh *config.Config, askedAt time.Time) {
+			discoveryClient.Migrate(fresh.Discovery, askedAt)
+		})
 	})
 
 	var engine frontend.Engine = loop
--- a/internal/settings/duration.go
+++ b/internal/settings/duration.go
@@ -8,6 +8,9 @@
 // maxMicroseconds bounds the result of Duration either way, to about 32 years.
 const maxMicroseconds = 1e15
 
+// MaxDeadline bounds what a request may state as its deadline where its class has none of its own.
+const MaxDeadline = time.Hour
+
 // Duration converts milliseconds, as the settings and the simulator give them, rounded to microseconds.
 // Numbers too large for a time are limited, and NaN gives 0.
 func Duration(ms float64) time.Duration {
