--- a/internal/frontend/limiter_test.go
+++ b/internal/frontend/limiter_test.go
@@ -169,3 +169,40 @@
 		t.Errorf("the connection ended with %v", err)
 	}
 }
+
+// A request that is read in the moment in which its connection is chosen for eviction is served: its bytes have left the
+// receive buffer, so that nothing tells of them, and closing would lose it.
+func TestRequestReadDuringEvictionIsServed(t *testing.T) {
+	for _, inDrain := range []bool{false, true} {
+		listener := newTestListener(t)
+		limiter, late := listener.limiter, time.Now().Add(time.Hour)
+		conn, client := acceptOne(t, listener)
+		makeIdle(t, conn)
+		const request = "GET / HTTP/1.1\r\n\r\n"
+		type result struct {
+			n   int
+			err error
+		}
+		results := make(chan result, 1)
+		limiter.hasUnread = func(c *clientConn) bool {
+			client.WriteText(request)
+			go func() {
+				n, err := conn.Read(make([]byte, len(request)))
+				results <- result{n, err}
+			}()
+			testkit.Eventually(t, "the read", func() bool { return !c.hasUnread() }) // it waits for the limiter now
+			return false
+		}
+		if inDrain {
+			limiter.drained(late, false)
+		} else {
+			limiter.evict(late)
+		}
+		if got := testkit.Receive(t, "the read", results); got.n != len(request) || got.err != nil {
+			t.Errorf("in a drain %v: read %d bytes, %v", inDrain, got.n, got.err)
+		}
+		if !conn.claim(0) {
+			t.Errorf("in a drain %v: the request is not served", inDrain)
+		}
+	}
+}
