--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,8 +26,9 @@
 const (
 	stateNew         connectionState = iota // nothing has been read yet
 	stateReadingHead                        // a part of the first head
-	stateActive                             // a request, or a part of one that is not the first
+	stateActive                             // a request whose head is complete, or a part of one that is not the first
 	stateIdle                               // between two requests
+	stateClosing                            // to be closed by its own goroutine unless that has read something
 	stateEvicted                            // closed by the limiter
 )
 
@@ -40,9 +42,11 @@
 	limiter    *connectionLimiter
 	acceptedAt time.Time
 
-	// The limiter's mutex guards these two.
-	state connectionState
-	since time.Time // when the connection was accepted or became idle, or when unread bytes were last seen on it
+	// The limiter's mutex guards these.
+	state        connectionState
+	resumeState  connectionState // of a connection that is closing: its state before
+	since        time.Time       // when the connection was accepted or became idle, or unread bytes were last seen on it
+	readDeadline time.Time       // as it was set last, also while the connection is closing
 
 	// The goroutine that serves the connection owns these, and its background reader while a request is open.
 	boundary  requestBoundary
@@ -67,7 +71,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	began, ok := c.limiter.recordRead(c)
+	began, ok := c.limiter.recordRead(c, c.headRead)
 	if !ok {
 		return 0, net.ErrClosed
 	}
@@ -101,9 +105,20 @@
 	return n
 }
 
-// readSocket reads the connection and keeps what belongs to the next request.
+// readSocket reads the connection and keeps what belongs to the next request. If the limiter has interrupted it to close
+// the connection, it is this goroutine that does so: it alone knows that it has read nothing.
 func (c *clientConn) readSocket(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	for n <= 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		closed, interrupted := c.limiter.resolveClose(c)
+		switch {
+		case closed:
+			return 0, net.ErrClosed
+		case !interrupted:
+			return 0, err
+		}
+		n, err = c.TCPConn.Read(p)
+	}
 	if n <= 0 {
 		return 0, err
 	}
@@ -125,7 +140,7 @@
 // leaves the time of an idle connection for the bytes before it.
 func (c *clientConn) beginFurtherRequest() {
 	c.headBy = time.Now().Add(headerTimeout)
-	_ = c.TCPConn.SetReadDeadline(c.headBy) // fails only on a closed connection, on which reads end by themselves
+	_ = c.limiter.setReadDeadline(c, c.headBy) // fails only on a closed connection, on which reads end by themselves
 }
 
 // SetReadDeadline sets the time limit for reads. While the head of a further request is read that is at most headBy: a
@@ -138,7 +153,7 @@
 			deadline = c.headBy
 		}
 	}
-	return c.TCPConn.SetReadDeadline(deadline)
+	return c.limiter.setReadDeadline(c, deadline)
 }
 
 // watch reads ahead until net/http ends that with a deadline or the client disconnects. Past maxReadAhead it reads no
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -24,14 +24,16 @@
 // A connection is evicted, or closed in a drain, only while it is certain that no request on it has been read. The
 // connection states of net/http come too late for that: they change once the complete head has been read. A request
 // that goes on while its connection is being closed is lost to its client, and the client's retry would be a second
-// copy.
+// copy. The limiter therefore closes no connection itself: it interrupts the goroutine that reads it, and that closes it
+// unless it has read something or bytes have come meanwhile.
 type connectionLimiter struct {
 	limit     int
 	reserve   int                    // how many more may be open for a moment
 	hasUnread func(*clientConn) bool // (*clientConn).hasUnread; tests wrap it
 
-	mu    sync.Mutex
-	conns map[*clientConn]struct{} // all that are open
+	mu      sync.Mutex
+	conns   map[*clientConn]struct{} // all that are open
+	closing int                      // those of them that are closing
 }
 
 // newConnectionLimiter returns a limiter for a number of connections, the reserve included.
@@ -58,14 +60,24 @@
 func (l *connectionLimiter) remove(c *clientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.removeLocked(c)
+}
+
+// removeLocked forgets a connection that is being closed. l.mu is held.
+func (l *connectionLimiter) removeLocked(c *clientConn) {
+	if c.state == stateClosing {
+		l.closing--
+	}
+	c.state = stateEvicted
 	delete(l.conns, c)
 }
 
-// excess returns by how many connections the limit is exceeded. It is negative below the limit.
+// excess returns by how many connections the limit is exceeded, without those that are closing. It is negative below the
+// limit.
 func (l *connectionLimiter) excess() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns) - l.limit
+	return len(l.conns) - l.closing - l.limit
 }
 
 // active returns the number of connections on which a request has begun and is not answered yet.
@@ -92,23 +104,71 @@
 	return sum
 }
 
-// recordRead records that bytes of a request have been read. It reports whether they are the first of a further
-// request, and false for ok if the connection has been evicted.
-func (l *connectionLimiter) recordRead(c *clientConn) (began, ok bool) {
+// recordRead records that bytes of a request have been read, and whether its head is complete. It reports whether they
+// are the first of a further request, and false for ok if the connection has been evicted. One that was closing is kept.
+func (l *connectionLimiter) recordRead(c *clientConn, headComplete bool) (began, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch c.state {
-	case stateNew:
-		c.state = stateReadingHead
-	case stateIdle:
+	l.resume(c)
+	switch {
+	case c.state == stateEvicted:
+		return false, false
+	case c.state == stateIdle:
 		c.state = stateActive
 		return true, true
-	case stateEvicted:
-		return false, false
+	case headComplete:
+		c.state = stateActive
+	case c.state == stateNew:
+		c.state = stateReadingHead
 	}
 	return false, true
 }
 
+// interrupt begins to close a connection. l.mu is held.
+func (l *connectionLimiter) interrupt(c *clientConn) {
+	c.state, c.resumeState = stateClosing, c.state
+	l.closing++
+	_ = c.TCPConn.SetReadDeadline(past) // fails only on a closed connection, on which reads end by themselves
+}
+
+// resume keeps a connection that was closing. l.mu is held.
+func (l *connectionLimiter) resume(c *clientConn) {
+	if c.state != stateClosing {
+		return
+	}
+	c.state, c.since = c.resumeState, time.Now()
+	l.closing--
+	_ = c.TCPConn.SetReadDeadline(c.readDeadline) // as in interrupt
+}
+
+// resolveClose is called by the goroutine of a connection whose read a deadline has ended. It reports whether the limiter
+// has interrupted it, and whether the connection is closed for that: it is kept if bytes have come.
+func (l *connectionLimiter) resolveClose(c *clientConn) (closed, interrupted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.state != stateClosing {
+		return false, false
+	}
+	if l.hasUnread(c) {
+		l.resume(c)
+		return false, true
+	}
+	l.removeLocked(c)
+	_ = c.TCPConn.Close() // the descriptor is freed even if it fails
+	return true, true
+}
+
+// setReadDeadline sets a connection's time limit for reads. While the connection is closing it is only noted.
+func (l *connectionLimiter) setReadDeadline(c *clientConn, deadline time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.readDeadline = deadline
+	if c.state == stateClosing {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
 func (l *connectionLimiter) claim(c *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,8 +194,8 @@
 	}
 }
 
-// evict closes one connection: the oldest that has not sent a complete head yet, or else the one that has been idle
-// for longest. It reports whether there was one.
+// evict begins to close one connection: the oldest that has not sent a complete head yet, or else the one that has been
+// idle for longest. It reports whether there was one.
 func (l *connectionLimiter) evict(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -148,7 +208,7 @@
 			c.since = now
 			continue
 		}
-		l.closeLocked(c)
+		l.interrupt(c)
 		return true
 	}
 	return false
@@ -177,39 +237,24 @@
 	return a
 }
 
-// closeLocked closes a connection on which no request has been read. l.mu is held.
-func (l *connectionLimiter) closeLocked(c *clientConn) {
-	c.state = stateEvicted
-	delete(l.conns, c)
-	_ = c.TCPConn.Close() // the descriptor is freed even if it fails
-}
-
-// drained closes connections in a drain. It reports whether none is left or, with force, none with a request; a
-// connection that is left then takes no request.
+// drained closes connections in a drain. It reports whether none is left. With force those go as well on which a request
+// is incomplete: it is not accepted before its last byte.
 func (l *connectionLimiter) drained(now time.Time, force bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.closeUnused(now)
-	if !force {
-		return len(l.conns) == 0
-	}
 	for c := range l.conns {
-		if c.state == stateActive {
-			return false
+		var unused bool
+		switch c.state {
+		case stateIdle:
+			unused = true
+		case stateNew:
+			unused = force || now.Sub(c.since) >= minNewAge
+		case stateReadingHead:
+			unused = force
 		}
-	}
-	for c := range l.conns {
-		l.closeLocked(c)
-	}
-	return true
-}
-
-// closeUnused closes the connections that are idle or have sent nothing. l.mu is held.
-func (l *connectionLimiter) closeUnused(now time.Time) {
-	for c := range l.conns {
-		unused := c.state == stateIdle || c.state == stateNew && now.Sub(c.since) >= minNewAge
 		if unused && !l.hasUnread(c) {
-			l.closeLocked(c)
+			l.interrupt(c)
 		}
 	}
+	return len(l.conns) == 0
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -76,8 +76,8 @@
 // StopAccepting makes Serve return once all connections that the machine has accepted are taken over.
 func (s *Server) StopAccepting() { s.listener.stop() }
 
-// Drained closes the connections between requests and reports whether a drain is complete: no connection is left or,
-// with force, none that has a request. Once it has returned true no connection takes another request.
+// Drained closes the connections between requests, and with force those on which one is incomplete, and reports whether
+// a drain is complete: no connection is left.
 func (s *Server) Drained(now time.Time, force bool) bool { return s.limiter.drained(now, force) }
 
 // Close closes the listener and all connections.
