--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -32,6 +32,9 @@
 
 	bytesPerMB = 1 << 20
 
+	// logLevelVariable may be "debug", which logs the steps of each request by its id.
+	logLevelVariable = "RELAY_LOG_LEVEL"
+
 	// logFlushTimeout bounds how long the end of the process waits for a log that is not read.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -40,7 +43,8 @@
 	// A write to standard error whose reader has gone would end the process.
 	signal.Ignore(syscall.SIGPIPE)
 	log := logging.NewWriter(os.Stderr)
-	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	options := &slog.HandlerOptions{Level: logLevel(os.Getenv(logLevelVariable))}
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, options)))
 	// This line and the next ones of a start tell how far a process has come that does not get ready.
 	slog.Info("starting", "pid", os.Getpid(), "procs", runtime.GOMAXPROCS(0))
 	err := run()
@@ -53,6 +57,14 @@
 	}
 }
 
+// logLevel returns the least level that is logged: info, or debug where the variable says so.
+func logLevel(text string) slog.Level {
+	if text == "debug" {
+		return slog.LevelDebug
+	}
+	return slog.LevelInfo
+}
+
 // run serves until SIGTERM or an interrupt and the drain that follows.
 func run() error {
 	reload := make(chan os.Signal, 1) // one that is pending stands for all that come meanwhile
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"springfield/internal/clock"
+	"springfield/internal/counters"
 	"springfield/policy"
 )
 
@@ -203,6 +204,7 @@
 // logWatchEnd logs why an established watch has ended, unless the one before ended in the same way, or the client has
 // ended it for a migration.
 func (c *Client) logWatchEnd(ctx context.Context, reason error) {
+	counters.Count(counters.WatchEnded, "")
 	text := "ended by discovery"
 	switch {
 	case reason != nil && ctx.Err() != nil && errors.Is(reason, context.Canceled):
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"springfield/internal/counters"
 	"springfield/policy"
 )
 
@@ -159,4 +160,5 @@
 		return // ctx or the sink has ended; the version stays, so that the next watch delivers the change again
 	}
 	c.listURL, c.listVersion = url, list.Version
+	counters.Count(counters.ListPublished, "")
 }
--- a/internal/eventloop/actions.go
+++ b/internal/eventloop/actions.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"springfield/internal/counters"
+	"springfield/internal/invariant"
 	"springfield/internal/upstream"
 	"springfield/policy"
 )
@@ -22,8 +24,13 @@
 	if until <= 0 || until > c.deadline {
 		until = c.deadline
 	}
+	target := l.endpoints[endpoint]
+	if allowed, reason := c.mayRepeat(l.now, &l.classes[c.request.Class]); !allowed {
+		invariant.Violated(invariant.Repeating, c.id, reason)
+		target = nil // the attempt is not sent
+	}
 	c.attempt = &attempt{
-		upstream: upstream.NewAttempt(l.endpoints[endpoint], l.clock.ToTime(until)),
+		upstream: upstream.NewAttempt(target, l.clock.ToTime(until)),
 		endpoint: endpoint,
 		number:   c.attempts,
 		sentAt:   l.now,
@@ -36,11 +43,11 @@
 
 // Reject ends a call: its client may safely retry.
 func (a actions) Reject(id policy.RequestID, retryAfter time.Duration) {
-	a.loop.endCall(id, Reject{RetryAfter: retryAfter})
+	a.loop.endCall(id, Reject{RetryAfter: retryAfter}, counters.RequestRejected)
 }
 
 // Fail ends a call: its request may have run.
-func (a actions) Fail(id policy.RequestID) { a.loop.endCall(id, Fail{}) }
+func (a actions) Fail(id policy.RequestID) { a.loop.endCall(id, Fail{}, counters.RequestFailed) }
 
 // CancelAttempt aborts an attempt. Its result follows once its connection is closed.
 func (a actions) CancelAttempt(id policy.RequestID, number int) {
@@ -59,11 +66,12 @@
 func (a actions) WatchEndpoints(bool) {}
 
 // endCall gives a call its last command, unless it has got that already.
-func (l *Loop) endCall(id policy.RequestID, last Command) {
+func (l *Loop) endCall(id policy.RequestID, last Command, event counters.Event) {
 	c := l.calls[id]
 	if c == nil {
 		return
 	}
 	delete(l.calls, id)
+	counters.Count(event, c.id)
 	c.commands <- last
 }
--- a/internal/eventloop/events.go
+++ b/internal/eventloop/events.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"springfield/internal/counters"
+	"springfield/internal/invariant"
 	"springfield/internal/upstream"
 	"springfield/policy"
 )
@@ -14,8 +16,14 @@
 	apply(l *Loop)
 }
 
-// Submit passes a new call to the engine, whose commands follow on the call's channel.
-func (l *Loop) Submit(c *Call) { l.post(callSubmitted{c}) }
+// Submit passes a new call to the engine, whose commands follow on the call's channel. Once the event loop has stopped it
+// rejects the call.
+func (l *Loop) Submit(c *Call) {
+	if !l.post(callSubmitted{c}) {
+		invariant.Violated(invariant.Starting, c.id, "the event loop has stopped")
+		c.commands <- Reject{}
+	}
+}
 
 // FinishAttempt reports the result of the attempt that the last Forward command of the call started. If its status is
 // policy.StatusOK the call is over and no more commands follow.
@@ -30,14 +38,35 @@
 // BeginShutdown sets a time by which every call is answered, those that come later included.
 func (l *Loop) BeginShutdown(answerBy time.Duration) { l.post(&shutdownBegun{answerBy}) }
 
-// post queues an event. It drops the event once the event loop has stopped.
-func (l *Loop) post(e event) {
+// post queues an event. It drops the event and reports false once the event loop has stopped.
+func (l *Loop) post(e event) bool {
 	select {
 	case l.events <- e:
+		return true
 	case <-l.stopped:
+		return false
 	}
 }
 
+// attemptEvents are the counts of attempts by how they ended.
+var attemptEvents = [...]counters.Event{
+	policy.StatusOK:            counters.AttemptOK,
+	policy.StatusServerError:   counters.AttemptServerError,
+	policy.StatusRejected:      counters.AttemptRejected,
+	policy.StatusTimedOut:      counters.AttemptTimedOut,
+	policy.StatusConnectFailed: counters.AttemptConnectFailed,
+	policy.StatusReset:         counters.AttemptReset,
+	policy.StatusCancelled:     counters.AttemptCancelled,
+	policy.StatusNotSent:       counters.AttemptNotSent,
+	policy.StatusLocalFailure:  counters.AttemptLocalFailure,
+}
+
+// mayHaveRun reports whether an attempt that ended so, without the response to pass on, may have been executed.
+func mayHaveRun(status policy.Status) bool {
+	return status == policy.StatusServerError || status == policy.StatusTimedOut || status == policy.StatusReset ||
+		status == policy.StatusCancelled
+}
+
 type callSubmitted struct{ call *Call }
 
 func (e callSubmitted) apply(l *Loop) {
@@ -66,10 +95,15 @@
 func (e attemptFinished) apply(l *Loop) {
 	c, id := e.call, e.call.request.ID
 	c.attempt.finished = true
+	counters.Count(attemptEvents[c.outcome.status], c.id)
+	if !c.mayHaveRun && mayHaveRun(c.outcome.status) {
+		c.mayHaveRun, c.ranSince = true, c.attempt.sentAt
+	}
 	open := l.calls[id] == c
 	succeeded := c.outcome.status == policy.StatusOK
 	if open && succeeded {
 		delete(l.calls, id) // the client's goroutine is already writing the response
+		counters.Count(counters.RequestServed, c.id)
 	}
 	l.engine.AttemptFinished(l.now, policy.AttemptResult{
 		Request:     id,
@@ -95,7 +129,7 @@
 		// Even where the settings allow no cancellation: no endpoint has received any of it.
 		c.attempt.upstream.AbortUnsent()
 	}
-	l.endCall(id, Abandon{})
+	l.endCall(id, Abandon{}, counters.RequestAbandoned)
 }
 
 type shutdownBegun struct{ answerBy time.Duration }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -30,6 +30,7 @@
 
 	// The goroutine of Run owns the fields below.
 	engine        *policy.Engine
+	classes       []policy.Class
 	calls         map[policy.RequestID]*Call // open calls
 	lastRequestID policy.RequestID
 	endpoints     map[policy.EndpointID]*upstream.Endpoint
@@ -48,6 +49,7 @@
 		stopped:   make(chan struct{}),
 		calls:     map[policy.RequestID]*Call{},
 		endpoints: map[policy.EndpointID]*upstream.Endpoint{},
+		classes:   config.Classes,
 	}
 	l.engine = policy.New(config, actions{l})
 	return l
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -77,7 +77,7 @@
 		}
 	}
 	for customer := range 6 {
-		call := NewCall(policy.Request{Customer: policy.CustomerID(customer + 1), Units: 1, SetSize: 1},
+		call := NewCall("a", policy.Request{Customer: policy.CustomerID(customer + 1), Units: 1, SetSize: 1},
 			loop.now+time.Second)
 		loop.Submit(call)
 		loop.handleEvent(loop.now)
--- a/internal/eventloop/shutdown_test.go
+++ b/internal/eventloop/shutdown_test.go
@@ -64,7 +64,7 @@
 
 // submitAt submits a call that may not be repeated once it may have run.
 func submitAt(loop *Loop, at time.Duration) *Call {
-	call := NewCall(policy.Request{Class: payClass, Units: 1, SetSize: 1}, at+8*time.Second)
+	call := NewCall("a", policy.Request{Class: payClass, Units: 1, SetSize: 1}, at+8*time.Second)
 	loop.Submit(call)
 	loop.handleEvent(at)
 	return call
--- a/internal/frontend/accept_errors.go
+++ b/internal/frontend/accept_errors.go
@@ -4,9 +4,10 @@
 	"errors"
 	"log/slog"
 	"net"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"springfield/internal/counters"
 )
 
 // Pauses before another call of accept after one that has failed. Clients wait in the machine's accept queue
@@ -27,10 +28,9 @@
 	return false
 }
 
-// acceptRetry paces the calls of accept while they fail, and counts the failures.
+// acceptRetry paces the calls of accept while they fail.
 type acceptRetry struct {
-	failures atomic.Uint64 // in all
-	pause    time.Duration // before the next call; 0: the last one succeeded
+	pause time.Duration // before the next call; 0: the last one succeeded
 }
 
 // succeeded ends a series of failures.
@@ -38,7 +38,7 @@
 
 // wait pauses after a failure, longer each time in a row. The first failure of a series is logged.
 func (r *acceptRetry) wait(err error) {
-	r.failures.Add(1)
+	counters.Count(counters.AcceptFailed, "")
 	if r.pause == 0 {
 		slog.Warn("accept failed", "err", err)
 	}
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -10,6 +10,9 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"springfield/internal/counters"
+	"springfield/internal/invariant"
 )
 
 const (
@@ -45,6 +48,7 @@
 	// The limiter's mutex guards these.
 	state        connectionState
 	resumeState  connectionState // of a connection that is closing: its state before
+	closeReason  counters.Event  // of a connection that is closing
 	since        time.Time       // when the connection was accepted or became idle, or unread bytes were last seen on it
 	readDeadline time.Time       // as it was set last, also while the connection is closing
 
@@ -53,6 +57,8 @@
 	headRead  bool      // the head of the present request is complete: a read of one byte is net/http's watch
 	headBy    time.Time // when the head of a further request must be complete; zero: none has begun
 	readAhead []byte    // read, and not passed on yet
+	owed      string    // id of the request that has been read and not answered; "": there is none
+	ending    counters.Event
 
 	readAheadLength atomic.Int32 // of readAhead, for other goroutines
 }
@@ -183,12 +189,26 @@
 	return io.EOF
 }
 
-// Close closes the connection and makes room for another.
+// Close closes the connection and makes room for another. It is the guard that no request is left without its answer.
 func (c *clientConn) Close() error {
-	c.limiter.remove(c)
+	if c.owed != "" {
+		invariant.Violated(invariant.Closing, c.owed, "its connection closes without an answer")
+	}
+	if c.limiter.remove(c) {
+		counters.Count(c.ending, "")
+	}
 	return c.TCPConn.Close()
 }
 
+// owe notes that a request has been read.
+func (c *clientConn) owe(id string) { c.owed = id }
+
+// answered notes that the answer to the request has been handed to net/http.
+func (c *clientConn) answered() { c.owed, c.ending = "", counters.CloseLast }
+
+// abandon notes that the client has gone and gets no answer.
+func (c *clientConn) abandon() { c.owed, c.ending = "", counters.CloseClientGone }
+
 // claim is called when the head of a request is complete, with the length of its body, below zero if that is not known:
 // from now on the connection is kept until the response. It reports false if the connection has been evicted.
 func (c *clientConn) claim(bodyLength int64) bool {
@@ -201,6 +221,7 @@
 	c.boundary.beginHead()
 	c.headRead = false
 	c.headBy = time.Time{}
+	c.ending = counters.CloseByTimeout
 	c.limiter.beginIdle(c)
 }
 
--- a/internal/frontend/connection_test.go
+++ b/internal/frontend/connection_test.go
@@ -44,3 +44,24 @@
 		t.Error("something is left behind the second request")
 	}
 }
+
+// A connection that closes with a request unanswered violates an invariant; one whose request was answered, or whose
+// client has gone, does not.
+func TestCloseGuard(t *testing.T) {
+	closes := func(prepare func(*clientConn)) (violation any) {
+		defer func() { violation = recover() }()
+		conn, _ := acceptOne(t, newTestListener(t))
+		conn.owe("a")
+		prepare(conn)
+		if err := conn.Close(); err != nil {
+			t.Error(err)
+		}
+		return nil
+	}
+	if closes((*clientConn).answered) != nil || closes((*clientConn).abandon) != nil {
+		t.Error("a violation though nothing is owed")
+	}
+	if closes(func(*clientConn) {}) == nil {
+		t.Error("no violation though an answer is owed")
+	}
+}
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -40,5 +40,5 @@
 		request.Body = io.NopCloser(bytes.NewReader(body))
 		request.ContentLength = int64(len(body))
 	}
-	return request
+	return request.WithContext(r.Context()) // it ends when the client has gone
 }
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"springfield/internal/clock"
+	"springfield/internal/counters"
 	"springfield/internal/eventloop"
+	"springfield/internal/invariant"
 	"springfield/internal/upstream"
 	"springfield/policy"
 )
@@ -62,7 +64,8 @@
 	receivedAt := h.clock.Now()
 	conn := connectionOf(r)
 	if conn != nil && !conn.claim(bodyLength(r)) {
-		panic(http.ErrAbortHandler) // evicted: nobody waits for a response
+		invariant.Violated(invariant.Starting, r.Header.Get("Req-Id"), "its connection is closed")
+		panic(http.ErrAbortHandler)
 	}
 	if err := checkFraming(r); err != nil {
 		h.respondError(w, r, err)
@@ -83,6 +86,8 @@
 		return
 	}
 	if conn != nil && conn.closedByClient() {
+		conn.abandon()
+		counters.Count(counters.RequestAbandoned, parsed.id)
 		panic(http.ErrAbortHandler) // the request was read only after its client had given up
 	}
 	if !h.open.add(parsed.id) {
@@ -90,7 +95,10 @@
 		return
 	}
 	defer h.open.remove(parsed.id)
-	call := eventloop.NewCall(parsed.request, parsed.deadline)
+	if conn != nil {
+		conn.owe(parsed.id)
+	}
+	call := eventloop.NewCall(parsed.id, parsed.request, parsed.deadline)
 	h.engine.Submit(call)
 	stop := context.AfterFunc(r.Context(), func() { h.engine.DisconnectClient(call) })
 	defer stop()
@@ -135,6 +143,9 @@
 		case eventloop.Abandon:
 			// net/http would send an empty response. A client that has closed only its sending side would take that
 			// for a response of an endpoint.
+			if conn := connectionOf(r); conn != nil {
+				conn.abandon()
+			}
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -157,6 +168,7 @@
 
 // respondError responds to a bad request and closes its connection: where the next request begins is uncertain.
 func (h *handler) respondError(w http.ResponseWriter, r *http.Request, err error) {
+	counters.Count(counters.RequestInvalid, r.Header.Get("Req-Id"))
 	status := http.StatusInternalServerError
 	if requestError, ok := errors.AsType[*RequestError](err); ok {
 		status = requestError.Status
@@ -174,7 +186,11 @@
 // request that the client has sent already, or a part of one, is answered first: it was accepted.
 func (h *handler) respond(w http.ResponseWriter, r *http.Request, status int, response upstream.Response) {
 	header := w.Header()
-	if (h.draining.Load() || h.limiter.excess() > 0) && !furtherRequestBegun(r) {
+	conn := connectionOf(r)
+	if conn != nil {
+		conn.answered()
+	}
+	if (h.draining.Load() || h.limiter.excess() > 0) && (conn == nil || !conn.hasUnread()) {
 		header["Connection"] = connectionClose
 	}
 	header["Date"] = nil // suppressed: it costs more CPU than it is worth
@@ -187,12 +203,6 @@
 	_, _ = w.Write(response.Body) // if it fails, net/http closes the connection
 }
 
-// furtherRequestBegun reports whether the client has sent anything behind the request.
-func furtherRequestBegun(r *http.Request) bool {
-	conn := connectionOf(r)
-	return conn != nil && conn.hasUnread()
-}
-
 // openRequests are the ids of the requests that are not answered yet. An endpoint would take a second request with the
 // id of an open one for a copy of it, whoever sent it.
 type openRequests struct {
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"springfield/internal/counters"
 )
 
 const (
@@ -50,17 +52,21 @@
 // add registers a connection that was just accepted.
 func (l *connectionLimiter) add(conn *net.TCPConn) *clientConn {
 	now := time.Now()
-	c := &clientConn{TCPConn: conn, limiter: l, acceptedAt: now, since: now}
+	c := &clientConn{TCPConn: conn, limiter: l, acceptedAt: now, since: now, ending: counters.CloseByTimeout}
+	counters.Count(counters.ConnectionAccepted, "")
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
 	return c
 }
 
-func (l *connectionLimiter) remove(c *clientConn) {
+// remove forgets a connection that is being closed. It reports false if the limiter had it closed.
+func (l *connectionLimiter) remove(c *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	present := c.state != stateEvicted
 	l.removeLocked(c)
+	return present
 }
 
 // removeLocked forgets a connection that is being closed. l.mu is held.
@@ -125,8 +131,8 @@
 }
 
 // interrupt begins to close a connection. l.mu is held.
-func (l *connectionLimiter) interrupt(c *clientConn) {
-	c.state, c.resumeState = stateClosing, c.state
+func (l *connectionLimiter) interrupt(c *clientConn, reason counters.Event) {
+	c.state, c.resumeState, c.closeReason = stateClosing, c.state, reason
 	l.closing++
 	_ = c.TCPConn.SetReadDeadline(past) // fails only on a closed connection, on which reads end by themselves
 }
@@ -155,6 +161,7 @@
 	}
 	l.removeLocked(c)
 	_ = c.TCPConn.Close() // the descriptor is freed even if it fails
+	counters.Count(c.closeReason, "")
 	return true, true
 }
 
@@ -208,7 +215,7 @@
 			c.since = now
 			continue
 		}
-		l.interrupt(c)
+		l.interrupt(c, counters.CloseEvicted)
 		return true
 	}
 	return false
@@ -253,7 +260,7 @@
 			unused = force
 		}
 		if unused && !l.hasUnread(c) {
-			l.interrupt(c)
+			l.interrupt(c, counters.CloseDrained)
 		}
 	}
 	return len(l.conns) == 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,9 +14,11 @@
 
 	"springfield/internal/clock"
 	"springfield/internal/config"
+	"springfield/internal/counters"
 	"springfield/internal/discovery"
 	"springfield/internal/eventloop"
 	"springfield/internal/frontend"
+	"springfield/internal/invariant"
 	"springfield/internal/oserror"
 	"springfield/internal/upstream"
 )
@@ -65,6 +67,7 @@
 	// The components outlive ctx: they are needed until the last request is answered.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var running sync.WaitGroup
+	defer logSummary()
 	defer running.Wait()
 	defer stop()
 
@@ -89,6 +92,11 @@
 	return shutDown(parts, listener, served, cfg.LongestDeadline(), opts)
 }
 
+// logSummary logs, at the end of the process, what has been counted.
+func logSummary() {
+	slog.Info("summary", append(counters.Summary(), "violations", invariant.Total())...)
+}
+
 // start builds the components and starts their goroutines, which run until ctx ends. The endpoint list of the
 // configuration is in use once it returns.
 func start(ctx context.Context, running *sync.WaitGroup, cfg *config.Config, seed uint64, reload <-chan os.Signal,
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -6,8 +6,13 @@
 import (
 	"testing"
 	"time"
+
+	"springfield/internal/invariant"
 )
 
+// In tests a violated invariant ends the process.
+func init() { invariant.PanicOnViolation() }
+
 // Timeout is the limit for anything that a test waits for.
 const Timeout = 10 * time.Second
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"springfield/internal/counters"
 	"springfield/policy"
 )
 
@@ -72,7 +73,7 @@
 }
 
 // Do carries the attempt out, from the connection to the last byte of the response. It is called once. It
-// sets the request's Req-Deadline header.
+// sets the request's Req-Deadline header. The request's context ends when its client has gone.
 func (a *Attempt) Do(request *http.Request) Result {
 	if a.endpoint == nil || !a.endpoint.ready.Load() {
 		return Result{Status: policy.StatusNotSent}
@@ -88,7 +89,12 @@
 		return Result{Status: connectStatus(err)}
 	}
 	request.Header["Req-Deadline"] = []string{formatSeconds(time.Until(a.deadline))}
-	if err := request.Write(buffer); err != nil || !a.startSending(c) {
+	if err := request.Write(buffer); err != nil {
+		a.endpoint.releaseIdle(c)
+		return Result{Status: policy.StatusNotSent}
+	}
+	if refusal, refused := a.startSending(request.Context(), c); refused {
+		counters.Count(refusal, request.Header.Get("Req-Id"))
 		a.endpoint.releaseIdle(c)
 		return Result{Status: policy.StatusNotSent}
 	}
@@ -131,16 +137,23 @@
 	}
 }
 
-// startSending marks the request as being out on the connection. It fails if the attempt must not be sent
-// any more. This is the last check before the first byte.
-func (a *Attempt) startSending(c *connection) bool {
+// startSending marks the request as being out on the connection, or tells why the attempt must not be sent any more.
+// This is the one guard before the first byte. client ends when the client has gone.
+func (a *Attempt) startSending(client context.Context, c *connection) (refusal counters.Event, refused bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.aborted || !a.endpoint.ready.Load() || !time.Now().Before(a.deadline) {
-		return false
+	switch {
+	case a.aborted:
+		return counters.SendRefusedAborted, true
+	case client.Err() != nil:
+		return counters.SendRefusedClient, true
+	case !a.endpoint.ready.Load():
+		return counters.SendRefusedEndpoint, true
+	case !time.Now().Before(a.deadline):
+		return counters.SendRefusedDeadline, true
 	}
 	a.conn = c.Conn
-	return true
+	return 0, false
 }
 
 // stopSending detaches the connection. It reports whether the attempt was aborted, and with which status.
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"springfield/internal/counters"
 	"springfield/internal/testkit"
 	"springfield/policy"
 )
@@ -148,8 +149,9 @@
 		t.Fatal(err)
 	}
 	endpoint.SetReady(false)
-	if attempt.startSending(connection) {
-		t.Error("it was sent")
+	if refusal, refused := attempt.startSending(t.Context(), connection); !refused ||
+		refusal != counters.SendRefusedEndpoint {
+		t.Errorf("refused %v, since %v", refused, refusal)
 	}
 	endpoint.releaseIdle(connection)
 	result := attempt.Do(newTestRequest())
@@ -206,3 +208,20 @@
 		}
 	}
 }
+
+// An attempt whose client has gone while it waited for its connection is not sent, whether or not the event loop knows.
+func TestNoFirstByteForAClientThatHasGone(t *testing.T) {
+	server, gate := testkit.NewServer(t, testkit.Reply(testkit.ResponseOK, true)), testkit.NewDialGate()
+	endpoint := newTestEndpointWith(t, server.Address(), Options{Dial: gate.Dial})
+	client, leave := context.WithCancel(t.Context())
+	results := start(newTestAttempt(endpoint), newTestRequest().WithContext(client))
+	testkit.WaitFor(t, "the dial", gate.Dialing)
+	leave()
+	gate.Open()
+	if result := testkit.Receive(t, "the result", results); result.Status != policy.StatusNotSent {
+		t.Errorf("got %+v", result)
+	}
+	if got := server.Requests.Load(); got != 0 {
+		t.Errorf("%d requests were sent", got)
+	}
+}
