--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -6,8 +6,8 @@
 // origin is the policy's time when a clock is created. It is far above zero, which the policy takes for long ago.
 const origin = 1000 * time.Hour
 
-// Clock yields times as the policy counts them. They follow the monotonic clock alone: the wall clock may be wrong, or be
-// stepped while the process runs.
+// Clock yields times as the policy counts them. They follow the monotonic clock alone: the wall clock may be wrong, or
+// be stepped while the process runs.
 type Clock struct {
 	base time.Time // carries the monotonic reading
 }
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -8,8 +8,8 @@
 	"springfield/internal/clock"
 )
 
-// The times of a clock do not depend on the wall clock: it may be wrong, and be stepped. In the bubble of a test the wall
-// clock reads the year 2000.
+// The times of a clock do not depend on the wall clock: it may be wrong, and be stepped. In the bubble of a test the
+// wall clock reads the year 2000.
 func TestNowFollowsTheMonotonicClockAlone(t *testing.T) {
 	outside := clock.New().Now()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -1,5 +1,5 @@
-// Package counters counts why connections close, attempts end and requests are refused. The counts are shown once, at the
-// end of the process; nothing on the wire tells of them. At the debug level each event is also logged as it occurs.
+// Package counters counts why connections close, attempts end and requests are refused. The counts are shown once, at
+// the end of the process; nothing on the wire tells of them. At the debug level each event is also logged as it occurs.
 package counters
 
 import (
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -174,8 +174,8 @@
 	}
 }
 
-// beginFollow returns the configured URL, when the migration to it was asked for, and a context that ends when the client
-// migrates to another one.
+// beginFollow returns the configured URL, when the migration to it was asked for, and a context that ends when the
+// client migrates to another one.
 func (c *Client) beginFollow(ctx context.Context) (followCtx context.Context, url string, migratedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// Changes that cannot be read leave a trace, once for each reason: since the complete list is fetched each time, nothing
-// else would tell of them.
+// Changes that cannot be read leave a trace, once for each reason: since the complete list is fetched each time,
+// nothing else would tell of them.
 func TestReasonOfWatchEndIsLoggedOnce(t *testing.T) {
 	logged := captureLog(t)
 	watches := make(chan struct{}, 100)
--- a/internal/discovery/fuzz_test.go
+++ b/internal/discovery/fuzz_test.go
@@ -176,7 +176,7 @@
 		url := client.url
 		silence := time.AfterFunc(time.Hour, func() {})
 		defer silence.Stop()
-		client.readChanges(context.Background(), url, io.MultiReader(bytes.NewReader([]byte(firstChange+"\n")),
+		_ = client.readChanges(context.Background(), url, io.MultiReader(bytes.NewReader([]byte(firstChange+"\n")),
 			bytes.NewReader(input)), silence)
 		if sink.count < 1 {
 			t.Fatal("the first change is not published")
--- a/internal/discovery/transfer_test.go
+++ b/internal/discovery/transfer_test.go
@@ -138,7 +138,8 @@
 		began := time.Now()
 		<-service.calls
 		const lastByteAfter = (parts - 1) * pause
-		if took := time.Since(began); took < lastByteAfter+watchTimeout || took > lastByteAfter+watchTimeout+minInitialBackoff {
+		const earliest = lastByteAfter + watchTimeout
+		if took := time.Since(began); took < earliest || took > earliest+minInitialBackoff {
 			t.Errorf("called again after %v", took)
 		}
 	})
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -116,7 +116,12 @@
 		timer := time.AfterFunc(watchTimeout, func() { close(silent) })
 		body, lines := io.Pipe()
 		ended := make(chan struct{})
-		go func() { client.readChanges(t.Context(), client.url, body, timer); close(ended) }()
+		go func() {
+			if err := client.readChanges(t.Context(), client.url, body, timer); err != nil {
+				t.Errorf("the watch ended with %v", err)
+			}
+			close(ended)
+		}()
 		for range 10 {
 			time.Sleep(keepAliveInterval)
 			write(lines, "\n")
--- a/internal/eventloop/call.go
+++ b/internal/eventloop/call.go
@@ -10,8 +10,8 @@
 // commandCapacity is the most commands that can be unread: to make an attempt, and that the client has disconnected.
 const commandCapacity = 2
 
-// mayRepeat is the guard against repeats, apart from the policy that decides on them: a request has one attempt at a time,
-// and once one may have run it has another only where its class allows that.
+// mayRepeat is the guard against repeats, apart from the policy that decides on them: a request has one attempt at a
+// time, and once one may have run it has another only where its class allows that.
 func (c *Call) mayRepeat(now time.Duration, class *policy.Class) (allowed bool, reason string) {
 	switch {
 	case c.attempt != nil && !c.attempt.finished:
@@ -45,8 +45,8 @@
 	ranSince   time.Duration // the first of which was sent then
 }
 
-// NewCall returns a call for the client's request with the given id, whose ID and TimeLeft the event loop sets. The last command is given by the
-// deadline.
+// NewCall returns a call for the client's request with the given id, whose ID and TimeLeft the event loop sets. The
+// last command is given by the deadline.
 func NewCall(id string, request policy.Request, deadline time.Duration) *Call {
 	return &Call{id: id, request: request, deadline: deadline, commands: make(chan Command, commandCapacity)}
 }
--- a/internal/eventloop/events.go
+++ b/internal/eventloop/events.go
@@ -16,8 +16,8 @@
 	apply(l *Loop)
 }
 
-// Submit passes a new call to the engine, whose commands follow on the call's channel. Once the event loop has stopped it
-// rejects the call.
+// Submit passes a new call to the engine, whose commands follow on the call's channel. Once the event loop has stopped
+// it rejects the call.
 func (l *Loop) Submit(c *Call) {
 	if !l.post(callSubmitted{c}) {
 		invariant.Violated(invariant.Starting, c.id, "the event loop has stopped")
--- a/internal/eventloop/repeat_test.go
+++ b/internal/eventloop/repeat_test.go
@@ -28,7 +28,8 @@
 	} {
 		class := policy.Class{Idempotency: test.idempotency, KeyTTL: ttl}
 		call := &Call{mayHaveRun: test.mayHaveRun, ranSince: time.Hour, attempt: &attempt{finished: !test.out}}
-		if allowed, reason := call.mayRepeat(time.Hour+test.after, &class); allowed != test.want || allowed == (reason != "") {
+		allowed, reason := call.mayRepeat(time.Hour+test.after, &class)
+		if allowed != test.want || allowed == (reason != "") {
 			t.Errorf("%s: %v, %q", test.name, allowed, reason)
 		}
 	}
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -63,8 +63,8 @@
 	readAheadLength atomic.Int32 // of readAhead, for other goroutines
 }
 
-// Read passes on the bytes that were read ahead before it reads the connection, and none of the next request. Bytes that
-// arrive while the connection is being evicted are not read.
+// Read passes on the bytes that were read ahead before it reads the connection, and none of the next request. Bytes
+// that arrive while the connection is being evicted are not read.
 func (c *clientConn) Read(p []byte) (int, error) {
 	if len(p) == 1 && c.headRead {
 		return 0, c.watch()
@@ -111,8 +111,8 @@
 	return n
 }
 
-// readSocket reads the connection and keeps what belongs to the next request. If the limiter has interrupted it to close
-// the connection, it is this goroutine that does so: it alone knows that it has read nothing.
+// readSocket reads the connection and keeps what belongs to the next request. If the limiter has interrupted it to
+// close the connection, it is this goroutine that does so: it alone knows that it has read nothing.
 func (c *clientConn) readSocket(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	for n <= 0 && errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -26,8 +26,8 @@
 // A connection is evicted, or closed in a drain, only while it is certain that no request on it has been read. The
 // connection states of net/http come too late for that: they change once the complete head has been read. A request
 // that goes on while its connection is being closed is lost to its client, and the client's retry would be a second
-// copy. The limiter therefore closes no connection itself: it interrupts the goroutine that reads it, and that closes it
-// unless it has read something or bytes have come meanwhile.
+// copy. The limiter therefore closes no connection itself: it interrupts the goroutine that reads it, and that closes
+// it unless it has read something or bytes have come meanwhile.
 type connectionLimiter struct {
 	limit     int
 	reserve   int                    // how many more may be open for a moment
@@ -78,8 +78,8 @@
 	delete(l.conns, c)
 }
 
-// excess returns by how many connections the limit is exceeded, without those that are closing. It is negative below the
-// limit.
+// excess returns by how many connections the limit is exceeded, without those that are closing. It is negative below
+// the limit.
 func (l *connectionLimiter) excess() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -111,7 +111,8 @@
 }
 
 // recordRead records that bytes of a request have been read, and whether its head is complete. It reports whether they
-// are the first of a further request, and false for ok if the connection has been evicted. One that was closing is kept.
+// are the first of a further request, and false for ok if the connection has been evicted. One that was closing is
+// kept.
 func (l *connectionLimiter) recordRead(c *clientConn, headComplete bool) (began, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,8 +148,8 @@
 	_ = c.TCPConn.SetReadDeadline(c.readDeadline) // as in interrupt
 }
 
-// resolveClose is called by the goroutine of a connection whose read a deadline has ended. It reports whether the limiter
-// has interrupted it, and whether the connection is closed for that: it is kept if bytes have come.
+// resolveClose is called by the goroutine of a connection whose read a deadline has ended. It reports whether the
+// limiter has interrupted it, and whether the connection is closed for that: it is kept if bytes have come.
 func (l *connectionLimiter) resolveClose(c *clientConn) (closed, interrupted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -244,8 +245,8 @@
 	return a
 }
 
-// drained closes connections in a drain. It reports whether none is left. With force those go as well on which a request
-// is incomplete: it is not accepted before its last byte.
+// drained closes connections in a drain. It reports whether none is left. With force those go as well on which a
+// request is incomplete: it is not accepted before its last byte.
 func (l *connectionLimiter) drained(now time.Time, force bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/frontend/limiter_test.go
+++ b/internal/frontend/limiter_test.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// A request that is read in the moment in which its connection is chosen for eviction is served: its bytes have left the
-// receive buffer, so that nothing tells of them, and closing would lose it.
+// A request that is read in the moment in which its connection is chosen for eviction is served: its bytes have left
+// the receive buffer, so that nothing tells of them, and closing would lose it.
 func TestRequestReadDuringEvictionIsServed(t *testing.T) {
 	for _, inDrain := range []bool{false, true} {
 		listener := newTestListener(t)
--- a/internal/gateway/client_departure_test.go
+++ b/internal/gateway/client_departure_test.go
@@ -84,7 +84,7 @@
 		d.leave(t, client)
 		testkit.WaitFor(t, "the end of the dial", gate.Cancelled)
 		gate.Open()
-		g.awaitClosed("leaver")
+		g.awaitLeaver()
 		g.wantOnlyLookup(server)
 	})
 }
@@ -104,7 +104,7 @@
 			g.awaitOpen("leaver")
 			client.WriteText(following)
 			d.leave(t, client)
-			g.awaitClosed("leaver")
+			g.awaitLeaver()
 			watch := testkit.Receive(t, "the watch", registry.Watches)
 			send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
 			g.wantOnlyLookup(server)
@@ -135,7 +135,7 @@
 		closeClient(t, client)
 		g.awaitDisconnect()
 		close(release)
-		g.awaitClosed("leaver")
+		g.awaitLeaver()
 		response := g.lookup(testkit.Plan)
 		if response.Status != http.StatusOK || one.Requests.Load()+two.Requests.Load() != 2 {
 			t.Errorf("cancel %v: got %+v; %d and %d requests", canCancel, response,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -149,10 +149,10 @@
 	testkit.Eventually(g.t, "the request", func() bool { return g.server.RequestOpen(id) })
 }
 
-// awaitClosed waits until no request with the id is open.
-func (g *testGateway) awaitClosed(id string) {
+// awaitLeaver waits until the request "leaver" is not open any more.
+func (g *testGateway) awaitLeaver() {
 	g.t.Helper()
-	testkit.Eventually(g.t, "the end of the request", func() bool { return !g.server.RequestOpen(id) })
+	testkit.Eventually(g.t, "the end of the request", func() bool { return !g.server.RequestOpen("leaver") })
 }
 
 // awaitDisconnect waits until the event loop has handled another disconnect. It handles events in their order, so it
--- a/internal/gateway/many_bytes_test.go
+++ b/internal/gateway/many_bytes_test.go
@@ -36,7 +36,7 @@
 	g.awaitOpen("leaver")
 	client.WriteText(manyBytes)
 	closeClient(t, client)
-	g.awaitClosed("leaver")
+	g.awaitLeaver()
 	watch := testkit.Receive(t, "the watch", registry.Watches)
 	send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
 	g.wantOnlyLookup(server)
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -1,6 +1,6 @@
 // Package invariant counts and logs violations of the rules that the gateway must never break. The guards themselves
-// stand where the code acts: each asks whether an action is allowed, and reports here when it has to prevent one that the
-// rest of the program should not have asked for.
+// stand where the code acts: each asks whether an action is allowed, and reports here when it has to prevent one that
+// the rest of the program should not have asked for.
 package invariant
 
 import (
