--- /dev/null
+++ b/internal/faultinjection/faultinjection_test.go
@@ -0,0 +1,66 @@
+package faultinjection_test
+
+import (
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"springfield/internal/faultinjection"
+)
+
+// Operations fail as the control file says, and succeed when it says nothing.
+func TestOperationsFailAsControlled(t *testing.T) {
+	control := filepath.Join(t.TempDir(), "faults")
+	injector := faultinjection.New(control)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = inner.Close() }) // the test fails before if it matters
+	listener, err := injector.Listener(inner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{"", "accept ENOBUFS\nconnect EMFILE\n", "accept nothing\nconnect\n", "connect ENFILE"} {
+		if err := os.WriteFile(control, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		conn, err := injector.Dial(t.Context(), "tcp", inner.Addr().String())
+		wantConnect := map[bool]error{strings.Contains(text, "EMFILE"): syscall.EMFILE,
+			strings.Contains(text, "ENFILE"): syscall.ENFILE}[true]
+		if !errors.Is(err, wantConnect) || (conn == nil) != (wantConnect != nil) {
+			t.Errorf("%q: connect gives %v, %v", text, conn, err)
+		}
+		if strings.Contains(text, "ENOBUFS") {
+			if _, err := listener.Accept(); !errors.Is(err, syscall.ENOBUFS) {
+				t.Errorf("%q: accept gives %v", text, err)
+			}
+		} else if conn != nil {
+			if _, err := listener.Accept(); err != nil {
+				t.Errorf("%q: accept gives %v", text, err)
+			}
+		}
+	}
+}
+
+// The production build of the gateway links none of this.
+func TestProductionBuildHasNoFaults(t *testing.T) {
+	const module = "springfield/internal/faultinjection"
+	for _, test := range []struct {
+		tags string
+		want bool
+	}{{"", false}, {"faultinjection", true}} {
+		output, err := exec.Command("go", "list", "-deps", "-tags="+test.tags, "springfield/cmd/gateway").Output()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Contains(string(output), module+"\n"); got != test.want {
+			t.Errorf("tags %q: linked %v", test.tags, got)
+		}
+	}
+}
