--- /dev/null
+++ b/cmd/springfield/soak.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strconv"
+	"strings"
+
+	"springfield/internal/soak"
+)
+
+type soakCommand struct {
+	Seeds    seedRange `required:"" placeholder:"A-B" help:"Seeds to run, such as 1-300 or 17."`
+	Gateway  string    `type:"path" placeholder:"FILE" help:"Program of the gateways, built with -tags faultinjection."`
+	Parallel int       `default:"4" help:"Runs at a time; each has 10 to 14 gateway processes."`
+	Shrink   bool      `help:"Run each seed that finds something again with fewer faults."`
+	Keep     string    `type:"path" placeholder:"DIR" help:"Directory in which the files of runs that find something stay."`
+}
+
+// seedRange is a range of seeds in the form "A-B", or one seed.
+type seedRange struct{ first, last uint64 }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *seedRange) UnmarshalText(text []byte) error {
+	first, last, isRange := strings.Cut(string(text), "-")
+	if !isRange {
+		last = first
+	}
+	var err error
+	if r.first, err = strconv.ParseUint(first, 10, 64); err == nil {
+		r.last, err = strconv.ParseUint(last, 10, 64)
+	}
+	if err != nil || r.last < r.first {
+		return fmt.Errorf("seeds %q: want A-B with A up to B, or one seed", text)
+	}
+	return nil
+}
+
+// Help tells what a soak does.
+func (*soakCommand) Help() string {
+	return `Each seed draws a small deployment of real gateway processes and two or three faults that overlap in time, and looks
+for broken rules, crashes and violated invariants. A finding is printed with a command that runs its seed again.
+
+Examples:
+
+    go build -tags faultinjection -o gateway-soak ./cmd/gateway
+    springfield soak --seeds 1-300 --gateway gateway-soak`
+}
+
+// Run runs the seeds.
+func (c *soakCommand) Run(ctx context.Context, env *environment) error {
+	program, arguments, err := gatewayProgram(c.Gateway)
+	if err != nil {
+		return err
+	}
+	if c.Parallel < 1 {
+		return inputErrorf("--parallel %d: want at least 1", c.Parallel)
+	}
+	run := func(ctx context.Context, plan soak.Plan) (soak.Result, error) {
+		return c.runOne(ctx, plan, soak.Options{Gateway: program, GatewayArgs: arguments,
+			Logger: slog.New(slog.DiscardHandler)})
+	}
+	report := soak.NewReport()
+	var found []soak.Result
+	err = soak.Series(ctx, c.Seeds.first, c.Seeds.last, c.Parallel, run, func(result soak.Result) {
+		report.Add(result)
+		if len(result.Findings) > 0 {
+			found = append(found, result)
+		}
+		writeRun(env.stdout, &result)
+	})
+	if err == nil && c.Shrink {
+		err = shrinkAll(ctx, env.stdout, found, run)
+	}
+	if writeErr := report.Write(env.stdout); err == nil {
+		err = writeErr
+	}
+	if err == nil && !report.Clean() {
+		err = fmt.Errorf("%s of %d found something", plural(len(found), "run"), report.Runs)
+	}
+	return err
+}
+
+// runOne runs a plan in a directory of its own, which stays if something was found and files are to be kept.
+func (c *soakCommand) runOne(ctx context.Context, plan soak.Plan, options soak.Options) (soak.Result, error) {
+	directory, err := os.MkdirTemp(c.Keep, fmt.Sprintf("soak-%d-", plan.Seed))
+	if err != nil {
+		return soak.Result{}, err
+	}
+	options.Directory = directory
+	result, err := soak.Run(ctx, plan, options)
+	if c.Keep == "" || len(result.Findings) == 0 {
+		_ = os.RemoveAll(directory) // what is left is a temporary file
+	}
+	return result, err
+}
+
+// writeRun writes a line on a run, and more if it has found something.
+func writeRun(w io.Writer, result *soak.Result) {
+	kinds := make([]string, 0, len(result.Plan.Faults))
+	for _, fault := range result.Plan.Faults {
+		kinds = append(kinds, string(fault.Kind))
+	}
+	_, _ = fmt.Fprintf(w, "seed %d: %d gateways, %s: %d requests, %d findings\n", result.Plan.Seed, result.Plan.Gateways,
+		strings.Join(kinds, " + "), result.Requests, len(result.Findings)) // the report at the end tells of errors
+	for _, finding := range result.Findings {
+		_, _ = fmt.Fprintf(w, "  %s\n  again: springfield soak --seeds %d --keep DIR\n", finding, result.Plan.Seed)
+	}
+}
+
+// shrinkAll looks for the faults that each finding needs.
+func shrinkAll(ctx context.Context, w io.Writer, found []soak.Result,
+	run func(context.Context, soak.Plan) (soak.Result, error)) error {
+	for _, result := range found {
+		what := result.Findings[0].What
+		plan, err := soak.Shrink(ctx, result.Plan, what, run)
+		if err != nil {
+			return err
+		}
+		var kinds []string
+		for _, fault := range plan.Faults {
+			kinds = append(kinds, string(fault.Kind))
+		}
+		if _, err := fmt.Fprintf(w, "seed %d: %s needs %s\n", plan.Seed, what, strings.Join(kinds, " + ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/emulator/loopback/endpoint_list.go
+++ b/internal/emulator/loopback/endpoint_list.go
@@ -34,7 +34,9 @@
 // addressBook tells at which address an endpoint is reached.
 type addressBook func(id policy.EndpointID) string
 
-func newListMessage(version uint64, full bool, list []policy.Endpoint, addresses addressBook) listMessage {
+// newListMessage returns the message with start times by a clock that differs by an offset.
+func newListMessage(version uint64, full bool, list []policy.Endpoint, addresses addressBook,
+	clockOffset time.Duration) listMessage {
 	message := listMessage{Version: version, Full: full, Servers: make([]instanceMessage, 0, len(list))}
 	for _, endpoint := range list {
 		message.Servers = append(message.Servers, instanceMessage{
@@ -45,12 +47,20 @@
 			Cell:      endpoint.Cell,
 			State:     stateName(endpoint.State),
 			Weight:    endpoint.Weight,
-			StartedMS: int64(endpoint.StartedAt / time.Millisecond),
+			StartedMS: startedMS(endpoint.StartedAt, clockOffset),
 		})
 	}
 	return message
 }
 
+// startedMS returns a start time as discovery tells it; 0 stays long ago.
+func startedMS(startedAt, clockOffset time.Duration) int64 {
+	if startedAt <= 0 {
+		return 0
+	}
+	return int64((startedAt + clockOffset) / time.Millisecond)
+}
+
 // encode returns the message as one line of a watch.
 func (m listMessage) encode() ([]byte, error) {
 	line, err := json.Marshal(m)
--- a/internal/emulator/loopback/gateway.go
+++ b/internal/emulator/loopback/gateway.go
@@ -45,6 +45,7 @@
 	address    string
 	configPath string
 	logPath    string
+	faultPath  string // control file of builds with seams
 	agent      *agent
 
 	process      *process // nil: none runs
@@ -72,6 +73,7 @@
 		address:    address,
 		configPath: filepath.Join(w.options.Directory, name+".json"),
 		logPath:    filepath.Join(w.options.Directory, name+".log"),
+		faultPath:  filepath.Join(w.options.Directory, name+".faults"),
 		known:      map[policy.EndpointID]policy.Endpoint{},
 	}
 	var err error
@@ -113,8 +115,9 @@
 		Discovery: g.agent.address,
 		Seed:      fmt.Sprintf("%016x", g.world.gatewayRandom.Uint64()),
 		Limits:    gatewayLimits,
-		Known:     newListMessage(version, true, list, g.world.endpointAddress),
-		Settings:  model.Settings(g.world.scenario, g.index),
+		Known: newListMessage(version, true, list, g.world.endpointAddress,
+			g.world.options.ClockOffset),
+		Settings: model.Settings(g.world.scenario, g.index),
 	}, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode the configuration of a gateway: %w", err)
@@ -143,7 +146,8 @@
 	w := g.world
 	err := g.writeConfig()
 	if err == nil {
-		g.process, err = newProcess(w.ctx, w.options.Gateway, w.options.GatewayArgs, g.configPath, g.logPath)
+		g.process, err = newProcess(w.ctx, w.options.Gateway, w.options.GatewayArgs,
+			processPaths{config: g.configPath, log: g.logPath, faults: g.faultPath})
 	}
 	if err != nil {
 		w.logger.Error("starting a gateway failed", "gateway", g.index, "err", err)
@@ -272,7 +276,12 @@
 			g.admitted = false
 		}
 	})
-	w.scheduler.After(min(w.longestDeadline(), killNotBefore)+killMargin, p.kill)
+	w.scheduler.After(min(w.longestDeadline(), killNotBefore)+killMargin+w.options.KillDelay, func() {
+		if g.process == p {
+			w.summary.DrainsKilled++
+		}
+		p.kill()
+	})
 }
 
 func (g *gateway) signal(signal syscall.Signal) {
--- a/internal/emulator/loopback/options.go
+++ b/internal/emulator/loopback/options.go
@@ -19,6 +19,12 @@
 	Gateway     string
 	GatewayArgs []string // arguments of the program, none as a rule
 
+	// ClockOffset is by how much the wall clock of the endpoints' machines differs from that of the gateways'.
+	ClockOffset time.Duration
+
+	// KillDelay is added to the time after which a gateway that shuts down is killed.
+	KillDelay time.Duration
+
 	Directory string            // for the configurations and logs of the gateways; it must exist
 	Observer  emulator.Observer // nil: none
 	Logger    *slog.Logger      // nil: slog.Default()
@@ -33,6 +39,7 @@
 	GatewayStarts     int           // processes
 	GatewayCrashes    int           // processes that ended without being told to
 	LoadTime          time.Duration // from the begin of the load until the last answer
+	DrainsKilled      int           // processes that had not ended when SIGKILL might come after SIGTERM
 	ReadinessTimeouts int           // gateways that did not become ready in time after a restart
 }
 
--- a/internal/emulator/loopback/process.go
+++ b/internal/emulator/loopback/process.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"syscall"
+
+	"springfield/internal/faultinjection"
 )
 
 // configVariable names the configuration of a gateway in its environment. Variables with its prefix that this process
@@ -46,7 +48,7 @@
 // process is one process of a gateway, in a process group of its own. Its methods may be called by any goroutine.
 type process struct {
 	command *exec.Cmd
-	log     *os.File
+	log     *logPipe
 	ended   chan struct{} // closed when the process has ended
 
 	mu      sync.Mutex
@@ -54,16 +56,24 @@
 	killed  bool // it is to be killed, perhaps before it has started
 }
 
+// processPaths are the files of a gateway's process.
+type processPaths struct {
+	config string
+	log    string
+	faults string // control file of builds with seams
+}
+
 // newProcess prepares a process that is killed at the latest when ctx ends.
-func newProcess(ctx context.Context, program string, arguments []string, configPath, logPath string) (*process, error) {
-	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+func newProcess(ctx context.Context, program string, arguments []string, paths processPaths) (*process, error) {
+	log, err := newLogPipe(paths.log)
 	if err != nil {
 		return nil, fmt.Errorf("open the log of a gateway: %w", err)
 	}
 	p := &process{log: log, ended: make(chan struct{})}
 	command := exec.CommandContext(ctx, program, arguments...)
-	command.Env = append(gatewayEnvironment(os.Environ()), configVariable+"="+configPath)
-	command.Stdout, command.Stderr = log, log
+	command.Env = append(gatewayEnvironment(os.Environ()), configVariable+"="+paths.config,
+		faultinjection.ControlVariable+"="+paths.faults)
+	command.Stdout, command.Stderr = log.writer, log.writer
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	command.Cancel = func() error { return killGroup(command.Process.Pid) }
 	p.command = command
@@ -86,7 +96,7 @@
 // run starts the process and waits until it has ended.
 func (p *process) run(l *launcher) error {
 	defer close(p.ended)
-	defer func() { _ = p.log.Close() }() // the process has written it, not this one
+	defer p.log.close()
 	if err := l.start(p.command); err != nil {
 		return fmt.Errorf("start a gateway: %w", err)
 	}
--- /dev/null
+++ b/internal/emulator/loopback/process_faults.go
@@ -0,0 +1,119 @@
+package loopback
+
+import (
+	"os"
+	"syscall"
+	"time"
+)
+
+// The methods in this file make faults of gateway processes and of their machines, for runs that go beyond the fault
+// schedule of a scenario. They may be called from any goroutine while the world runs.
+
+// PauseGateway stops the process of a gateway for a time, as a busy machine does.
+func (w *World) PauseGateway(index int, length time.Duration) {
+	w.scheduler.Do(func() {
+		g := w.gateways[index]
+		p := g.process
+		if p == nil || p.signal(syscall.SIGSTOP) != nil {
+			return
+		}
+		w.scheduler.After(length, func() { _ = p.signal(syscall.SIGCONT) }) // fails only once it has ended
+	})
+}
+
+// CloseLog closes the reading end of the log of a gateway's present process.
+func (w *World) CloseLog(index int) {
+	w.scheduler.Do(func() {
+		if p := w.gateways[index].process; p != nil {
+			p.log.leave()
+		}
+	})
+}
+
+// StallLog reads nothing of the log of a gateway's present process for a time. The pipe is full at once.
+func (w *World) StallLog(index int, length time.Duration) {
+	w.scheduler.Do(func() {
+		p := w.gateways[index].process
+		if p == nil {
+			return
+		}
+		p.log.stall()
+		p.log.fill()
+		w.scheduler.After(length, p.log.resume)
+	})
+}
+
+// HalfWriteConfig writes the configuration of a gateway in place, stops in the middle, sends SIGHUP and writes the rest
+// after a time.
+func (w *World) HalfWriteConfig(index int, length time.Duration) {
+	w.scheduler.Do(func() {
+		g := w.gateways[index]
+		text, err := os.ReadFile(g.configPath)
+		if err != nil || g.process == nil {
+			return
+		}
+		write := func(text []byte) {
+			if err := os.WriteFile(g.configPath, text, 0o600); err != nil {
+				w.logger.Error("writing a configuration failed", "gateway", index, "err", err)
+			}
+		}
+		write(text[:len(text)/2])
+		g.signal(syscall.SIGHUP)
+		w.scheduler.After(length, func() { write(text) })
+	})
+}
+
+// FailSystemCalls makes system calls of a gateway fail for a time, if its program has the seams for it. faults are lines
+// of the control file.
+func (w *World) FailSystemCalls(index int, faults string, length time.Duration) {
+	w.scheduler.Do(func() {
+		g := w.gateways[index]
+		write := func(text string) {
+			temporary := g.faultPath + ".new"
+			err := os.WriteFile(temporary, []byte(text), 0o600)
+			if err == nil {
+				err = os.Rename(temporary, g.faultPath)
+			}
+			if err != nil {
+				w.logger.Error("writing a control file failed", "gateway", index, "err", err)
+			}
+		}
+		write(faults)
+		w.scheduler.After(length, func() { write("") })
+	})
+}
+
+// SlowLists makes agents write complete lists slowly for a time, over so long each.
+func (w *World) SlowLists(spread, length time.Duration) {
+	w.scheduler.Do(func() {
+		w.listSpread = spread
+		for _, g := range w.gateways { // what they cannot have read does not count as notified
+			g.agent.deferUntil = max(g.agent.deferUntil, w.scheduler.Now()+length+spread+silenceNotifiedAfter)
+		}
+		w.scheduler.After(length, func() { w.listSpread = 0 })
+	})
+}
+
+// ShutDownGateways sends SIGTERM to all processes and waits until they have ended, up to a timeout. It reports how many
+// have not.
+func (w *World) ShutDownGateways(timeout time.Duration) (remaining int) {
+	var processes []*process
+	w.scheduler.Do(func() {
+		for _, g := range w.gateways {
+			if g.process != nil {
+				g.state, g.shutDown, g.startsAgain = gatewayDraining, true, false
+				g.signal(syscall.SIGTERM)
+				processes = append(processes, g.process)
+			}
+		}
+	})
+	expired := time.After(timeout)
+	for i, p := range processes {
+		select {
+		case <-p.ended:
+		case <-expired:
+			return len(processes) - i
+		}
+	}
+	return 0
+}
--- a/internal/emulator/loopback/watch.go
+++ b/internal/emulator/loopback/watch.go
@@ -43,7 +43,8 @@
 		full:    kind == policy.UpdateFull,
 		version: version,
 		list:    list,
-		message: newListMessage(version, kind == policy.UpdateFull, list, w.agent.world.endpointAddress),
+		message: newListMessage(version, kind == policy.UpdateFull, list, w.agent.world.endpointAddress,
+			w.agent.world.options.ClockOffset),
 	}
 	select {
 	case w.updates <- next:
@@ -180,8 +181,33 @@
 	if world.scenario.Discovery.Polled {
 		world.scheduler.Do(func() { world.notified(w.agent.gateway, list.list) })
 	}
-	_, err = response.Write(line)
-	return err == nil
+	return w.writeSpread(response, line, list.full)
+}
+
+// listParts is the number of parts in which a slow list is written.
+const listParts = 10
+
+// writeSpread writes a line, and a complete list over the time that SlowLists has set.
+func (w *watch) writeSpread(response http.ResponseWriter, line []byte, full bool) bool {
+	world := w.agent.world
+	var spread time.Duration
+	world.scheduler.Do(func() { spread = world.listSpread })
+	if spread == 0 || !full {
+		_, err := response.Write(line)
+		return err == nil
+	}
+	for i := range listParts {
+		if !world.pause(spread / listParts) {
+			return false
+		}
+		if _, err := response.Write(line[len(line)*i/listParts : len(line)*(i+1)/listParts]); err != nil {
+			return false
+		}
+		if http.NewResponseController(response).Flush() != nil {
+			return false
+		}
+	}
+	return true
 }
 
 // writeKeepAlive writes an empty line unless discovery is silent.
--- a/internal/emulator/loopback/world.go
+++ b/internal/emulator/loopback/world.go
@@ -53,7 +53,8 @@
 	gateways      []*gateway
 	requests      map[emulator.RequestKey]*request
 	discoveryDown bool
-	zoneCuts      []int // by zone: partitions that cut it off from the others now
+	listSpread    time.Duration // over which agents write a complete list; 0: at once
+	zoneCuts      []int         // by zone: partitions that cut it off from the others now
 	resetShare    float64
 	spoiltShare   float64
 	lastObserved  time.Duration // the time of an observation is never before that of the one before
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,147 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"springfield/internal/emulator"
+)
+
+const (
+	loadLength    = 7 * time.Second
+	faultsBegin   = 1500 * time.Millisecond
+	faultsSpread  = time.Second // between the begins of two faults at most
+	minFault      = 1500 * time.Millisecond
+	maxFault      = 3 * time.Second
+	minGateways   = 10
+	extraGateways = 4
+	endpoints     = 8
+	zones         = 2
+)
+
+// Fault is one fault of a run.
+type Fault struct {
+	Kind   Kind
+	At     time.Duration // from the begin of the load
+	Length time.Duration
+}
+
+// Plan is a run as it is drawn from a seed.
+type Plan struct {
+	Seed     uint64
+	Gateways int
+	Faults   []Fault
+}
+
+// NewPlan draws a run. Of the faults the first two are a pair that the seed selects, so that consecutive seeds cover all
+// pairs; a third one joins them in most runs. Each begins while those before it last.
+func NewPlan(seed uint64) Plan {
+	random := rand.New(rand.NewPCG(seed, 0))
+	pairs := shuffledPairs()
+	pair := pairs[int(seed%uint64(len(pairs)))]
+	kinds := pair[:]
+	if random.IntN(4) > 0 {
+		for {
+			third := Kinds()[random.IntN(len(Kinds()))]
+			if !slices.Contains(kinds, third) {
+				kinds = append(slices.Clone(kinds), third)
+				break
+			}
+		}
+	}
+	plan := Plan{Seed: seed, Gateways: minGateways + random.IntN(extraGateways+1)}
+	at := faultsBegin
+	for _, kind := range kinds {
+		length := minFault + time.Duration(random.Int64N(int64(maxFault-minFault)))
+		plan.Faults = append(plan.Faults, Fault{Kind: kind, At: at, Length: length})
+		at += time.Duration(random.Int64N(int64(min(faultsSpread, length))))
+	}
+	random.Shuffle(len(plan.Faults), func(i, j int) { // which of the pair begins first
+		plan.Faults[i].Kind, plan.Faults[j].Kind = plan.Faults[j].Kind, plan.Faults[i].Kind
+	})
+	return plan
+}
+
+// shuffledPairs returns all pairs in one order for all seeds.
+func shuffledPairs() []Pair {
+	pairs := Pairs()
+	rand.New(rand.NewPCG(1, 1)).Shuffle(len(pairs), func(i, j int) { pairs[i], pairs[j] = pairs[j], pairs[i] })
+	return pairs
+}
+
+// Covers returns the pairs of kinds whose faults overlap.
+func (p *Plan) Covers() []Pair {
+	var covered []Pair
+	for _, pair := range Pairs() {
+		if p.has(pair[0]) && p.has(pair[1]) {
+			covered = append(covered, pair)
+		}
+	}
+	return covered
+}
+
+func (p *Plan) has(kind Kind) bool {
+	return slices.ContainsFunc(p.Faults, func(fault Fault) bool { return fault.Kind == kind })
+}
+
+// without returns the plan less one of its faults.
+func (p *Plan) without(index int) Plan {
+	less := *p
+	less.Faults = slices.Delete(slices.Clone(p.Faults), index, index+1)
+	return less
+}
+
+// scenario returns the deployment of a run. Deadlines are short, so that faults outlast them.
+func (p *Plan) scenario() emulator.Scenario {
+	ms := func(value int) emulator.Duration { return emulator.Duration(time.Duration(value) * time.Millisecond) }
+	scenario := emulator.Scenario{
+		Name: "soak", Length: emulator.Duration(loadLength), Gateways: p.Gateways, Zones: zones,
+		Endpoints: emulator.Endpoints{Count: endpoints, Cores: 1, Slots: 4, WaitingRoom: 16, SpeedSpread: 0.2,
+			MaxConnections: 400, IdleTimeout: ms(5000), DrainGrace: ms(1000)},
+		WarmUp:    emulator.WarmUp{InitialCapacity: 0.2, Duration: ms(4000), OverloadFactor: 2.5, OverloadWindow: ms(1000)},
+		Network:   emulator.Network{Delay: ms(1), Jitter: 0.5, DialTimeout: ms(250), FrontDelay: ms(500)},
+		Discovery: emulator.Discovery{DelayMin: ms(20), DelayMax: ms(200)},
+		Meter:     emulator.Meter{Period: ms(1000), DelayMin: ms(100), DelayMax: ms(400)},
+		Limits:    emulator.Limits{Cancel: p.Seed%2 == 0, MaxAttempts: 4, RetryAfter: true, MaxRetryAfter: ms(500)},
+		Classes: []emulator.Class{
+			{Name: "search", Share: 0.5, Idempotency: "idempotent", Objective: ms(400), Deadline: ms(1000), Value: 1,
+				Work: ms(12), WorkSpread: 0.5},
+			{Name: "cart", Share: 0.25, Idempotency: "deduplicated", Scope: "zone", KeyTTL: ms(900), Objective: ms(400),
+				Deadline: ms(1200), Value: 2, Work: ms(12), WorkSpread: 0.5},
+			{Name: "pay", Share: 0.25, Idempotency: "at_most_once", Objective: ms(500), Deadline: ms(1500), Value: 4,
+				Work: ms(16), WorkSpread: 0.5},
+		},
+		Plans: []emulator.Plan{{Name: "team", Share: 1, Rate: 20, Burst: 40, Price: 1, OverQuotaCost: 0.5}},
+		Clients: emulator.Clients{Load: 0.45, MaxUnits: 2, SetMin: 0.5, SetMax: 1, CalmUse: 0.5, Retries: 1,
+			RetryDelay: ms(100), Patience: 0.8, Abandon: 0.05},
+	}
+	for _, fault := range p.Faults {
+		if fault.Kind.isScheduled() {
+			scenario.Faults = append(scenario.Faults, scheduledFault(fault))
+		}
+	}
+	return scenario
+}
+
+// Parameters of scheduled faults.
+const (
+	faultShare = 0.3 // of gateways or endpoints
+	slowFactor = 6   // of slow endpoints and late lists
+	failFactor = 0.3 // of the requests or attempts
+)
+
+func scheduledFault(fault Fault) emulator.Fault {
+	scheduled := emulator.Fault{
+		Kind:   emulator.FaultKind(fault.Kind),
+		At:     emulator.Duration(fault.At),
+		Length: emulator.Duration(fault.Length),
+		Share:  faultShare,
+		Factor: failFactor,
+	}
+	switch scheduled.Kind {
+	case emulator.FaultSlowEndpoints, emulator.FaultLateLists:
+		scheduled.Factor = slowFactor
+	}
+	return scheduled
+}
--- /dev/null
+++ b/internal/soak/report.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+)
+
+// Report sums up the runs of a soak.
+type Report struct {
+	Runs     int
+	Requests int64
+	Attempts int64
+	pairs    map[Pair]int
+	findings map[string]*foundIn
+}
+
+// foundIn tells which seeds found something.
+type foundIn struct {
+	seeds []uint64
+	first Finding
+}
+
+// NewReport returns a report of no runs.
+func NewReport() *Report { return &Report{pairs: map[Pair]int{}, findings: map[string]*foundIn{}} }
+
+// Add adds a run.
+func (r *Report) Add(result Result) {
+	r.Runs++
+	r.Requests += result.Requests
+	r.Attempts += result.Attempts
+	for _, pair := range result.Plan.Covers() {
+		r.pairs[pair]++
+	}
+	for _, finding := range result.Findings {
+		found := r.findings[finding.What]
+		if found == nil {
+			found = &foundIn{first: finding}
+			r.findings[finding.What] = found
+		}
+		if !slices.Contains(found.seeds, result.Plan.Seed) {
+			found.seeds = append(found.seeds, result.Plan.Seed)
+		}
+	}
+}
+
+// Clean reports whether nothing was found.
+func (r *Report) Clean() bool { return len(r.findings) == 0 }
+
+// Write writes the report: what was run, which pairs of kinds came together, and what was found by which seeds.
+func (r *Report) Write(w io.Writer) error {
+	covered := 0
+	for _, pair := range Pairs() {
+		if r.pairs[pair] > 0 {
+			covered++
+		}
+	}
+	if _, err := fmt.Fprintf(w, "%d runs, %d requests, %d attempts; %d of %d pairs of faults came together\n\n",
+		r.Runs, r.Requests, r.Attempts, covered, len(Pairs())); err != nil {
+		return err
+	}
+	if err := r.writePairs(w); err != nil {
+		return err
+	}
+	for _, what := range slices.Sorted(maps.Keys(r.findings)) {
+		found := r.findings[what]
+		slices.Sort(found.seeds)
+		if _, err := fmt.Fprintf(w, "found: %s; seeds %v; %s\n", what, found.seeds, found.first.Detail); err != nil {
+			return err
+		}
+	}
+	if r.Clean() {
+		_, err := fmt.Fprintln(w, "nothing was found")
+		return err
+	}
+	return nil
+}
+
+// writePairs writes how often each pair came together, a line for each kind and a column for each kind before it.
+func (r *Report) writePairs(w io.Writer) error {
+	kinds := Kinds()
+	for i, kind := range kinds {
+		if _, err := fmt.Fprintf(w, "%2d %-18s", i+1, kind); err != nil {
+			return err
+		}
+		for j := range i {
+			if _, err := fmt.Fprintf(w, "%3d", r.pairs[Pair{kinds[j], kind}]); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprintln(w); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintln(w)
+	return err
+}
--- /dev/null
+++ b/internal/soak/series.go
@@ -0,0 +1,42 @@
+package soak
+
+import (
+	"context"
+	"sync"
+)
+
+// Series runs a plan for each seed from first to last, a few at a time, and calls done after each run, one at a time. It
+// ends early with ctx or at the first run that cannot be carried out.
+func Series(ctx context.Context, first, last uint64, parallel int, run func(context.Context, Plan) (Result, error),
+	done func(Result)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	seeds := make(chan uint64)
+	var workers sync.WaitGroup
+	var mu sync.Mutex
+	for range parallel {
+		workers.Go(func() {
+			for seed := range seeds {
+				result, err := run(ctx, NewPlan(seed))
+				if err != nil {
+					cancel(err)
+					return
+				}
+				mu.Lock()
+				done(result)
+				mu.Unlock()
+			}
+		})
+	}
+feed:
+	for seed := first; seed <= last; seed++ {
+		select {
+		case seeds <- seed:
+		case <-ctx.Done():
+			break feed
+		}
+	}
+	close(seeds)
+	workers.Wait()
+	return context.Cause(ctx)
+}
