--- a/cmd/springfield/cli.go
+++ b/cmd/springfield/cli.go
@@ -29,7 +29,7 @@
 	Demo       demoCommand       `cmd:"" help:"Run a small deployment on sockets of this machine."`
 	Experiment experimentCommand `cmd:"" help:"Run experiments, and compare their results."`
 	Report     reportCommand     `cmd:"" help:"Write an HTML page or plots of results."`
-	Soak       soakCommand       `cmd:"" help:"Run randomized faults against gateway processes, and look for broken rules."`
+	Soak       soakCommand       `cmd:"" help:"Run randomized faults against gateways, and look for broken rules."`
 	Emulate    emulateCommand    `cmd:"" help:"Emulate the surroundings of gateways that are started by hand."`
 	Config     configCommand     `cmd:"" help:"Work with configuration files of gateways."`
 	Completion completionCommand `cmd:"" help:"Print a script that completes command lines in a shell."`
--- a/cmd/springfield/completion_test.go
+++ b/cmd/springfield/completion_test.go
@@ -20,7 +20,7 @@
 	file := writeTestFile(t, "experiment.toml", "")
 	for _, test := range []struct{ line, want string }{
 		{"e", "experiment emulate"},
-		{"", "demo experiment report emulate config completion version"},
+		{"", "demo experiment report soak emulate config completion version"},
 		{"experiment ", "run compare list"},
 		{"experiment run --fr", "--fresh"},
 		{"completion ", "bash zsh fish"},
--- a/cmd/springfield/soak.go
+++ b/cmd/springfield/soak.go
@@ -17,7 +17,7 @@
 	Gateway  string    `type:"path" placeholder:"FILE" help:"Program of the gateways, built with -tags faultinjection."`
 	Parallel int       `default:"4" help:"Runs at a time; each has 10 to 14 gateway processes."`
 	Shrink   bool      `help:"Run each seed that finds something again with fewer faults."`
-	Keep     string    `type:"path" placeholder:"DIR" help:"Directory in which the files of runs that find something stay."`
+	Keep     string    `type:"path" placeholder:"DIR" help:"Directory where files of runs with findings stay."`
 }
 
 // seedRange is a range of seeds in the form "A-B", or one seed.
@@ -41,7 +41,7 @@
 
 // Help tells what a soak does.
 func (*soakCommand) Help() string {
-	return `Each seed draws a small deployment of real gateway processes and two or three faults that overlap in time, and looks
+	return `Each seed draws a small deployment of gateway processes and two or three faults that overlap in time, and looks
 for broken rules, crashes and violated invariants. A finding is printed with a command that runs its seed again.
 
 Examples:
--- a/internal/emulator/loopback/process_faults.go
+++ b/internal/emulator/loopback/process_faults.go
@@ -63,8 +63,8 @@
 	})
 }
 
-// FailSystemCalls makes system calls of a gateway fail for a time, if its program has the seams for it. faults are lines
-// of the control file.
+// FailSystemCalls makes system calls of a gateway fail for a time, if its program has the seams for it. faults are
+// lines of the control file.
 func (w *World) FailSystemCalls(index int, faults string, length time.Duration) {
 	w.scheduler.Do(func() {
 		g := w.gateways[index]
--- a/internal/faultinjection/faultinjection.go
+++ b/internal/faultinjection/faultinjection.go
@@ -1,5 +1,5 @@
-// Package faultinjection makes system calls of a gateway fail as a control file says. Only builds of cmd/gateway with the
-// build tag faultinjection link it, for soaks over real processes.
+// Package faultinjection makes system calls of a gateway fail as a control file says. Only builds of cmd/gateway with
+// the build tag faultinjection link it, for soaks over real processes.
 package faultinjection
 
 import (
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// ControlVariable names, in the environment of a gateway, the control file. It holds lines of an operation and an error,
-// such as "accept ENOBUFS"; an operation that no line names succeeds. It may change at any time.
+// ControlVariable names, in the environment of a gateway, the control file. It holds lines of an operation and an
+// error, such as "accept ENOBUFS"; an operation that no line names succeeds. It may change at any time.
 const ControlVariable = "TEST_FAULTS"
 
 // The operations that can be made to fail.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,8 @@
 // firstListWait bounds how long readiness waits for the first answer of discovery.
 const firstListWait = 300 * time.Millisecond
 
-// Seams replace parts of a gateway that meet the operating system, in builds for soaks. The zero value replaces nothing.
+// Seams replace parts of a gateway that meet the operating system, in builds for soaks. The zero value replaces
+// nothing.
 type Seams struct {
 	Listener func(net.Listener) (net.Listener, error) // wraps the listener for clients
 	Dial     upstream.Dialer                          // opens connections to endpoints
--- a/internal/soak/findings.go
+++ b/internal/soak/findings.go
@@ -24,7 +24,8 @@
 }
 
 // findings collects what a run has broken.
-func (r *runner) findings(rules invariant.Report, summary loopback.Summary, remaining, starved int, err error) []Finding {
+func (r *runner) findings(rules invariant.Report, summary loopback.Summary, remaining, starved int,
+	err error) []Finding {
 	var findings []Finding
 	add := func(what string, count int, detail string) {
 		if count > 0 {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,8 +34,8 @@
 	Faults   []Fault
 }
 
-// NewPlan draws a run. Of the faults the first two are a pair that the seed selects, so that consecutive seeds cover all
-// pairs; a third one joins them in most runs. Each begins while those before it last.
+// NewPlan draws a run. Of the faults the first two are a pair that the seed selects, so that consecutive seeds cover
+// all pairs; a third one joins them in most runs. Each begins while those before it last.
 func NewPlan(seed uint64) Plan {
 	random := rand.New(rand.NewPCG(seed, 0))
 	pairs := shuffledPairs()
--- /dev/null
+++ b/internal/soak/report_test.go
@@ -0,0 +1,87 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"springfield/internal/emulator"
+)
+
+func TestReportTellsFindingsAndSeeds(t *testing.T) {
+	report := NewReport()
+	plan := Plan{Seed: 7, Faults: []Fault{{Kind: CloseLogs}, {Kind: SlowLists}}}
+	report.Add(Result{Plan: plan, Requests: 10})
+	if !report.Clean() {
+		t.Error("not clean though nothing was found")
+	}
+	plan.Seed = 9
+	report.Add(Result{Plan: plan, Requests: 5, Findings: []Finding{{What: "crash", Count: 2, Detail: "ended"}}})
+	var text strings.Builder
+	if err := report.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"2 runs, 15 requests", "1 of 351 pairs", "found: crash; seeds [9]; ended"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is missing in:\n%s", want, text.String())
+		}
+	}
+	if report.Clean() {
+		t.Error("clean though something was found")
+	}
+}
+
+// A series runs each seed once and ends at a run that cannot be carried out.
+func TestSeries(t *testing.T) {
+	seen := map[uint64]int{}
+	run := func(_ context.Context, plan Plan) (Result, error) { return Result{Plan: plan}, nil }
+	if err := Series(t.Context(), 3, 9, 3, run, func(result Result) { seen[result.Plan.Seed]++ }); err != nil {
+		t.Fatal(err)
+	}
+	for seed := uint64(3); seed <= 9; seed++ {
+		if seen[seed] != 1 {
+			t.Errorf("seed %d was run %d times", seed, seen[seed])
+		}
+	}
+	failed := errors.New("failed")
+	var runs atomic.Int32
+	err := Series(t.Context(), 1, 1_000_000, 2, func(context.Context, Plan) (Result, error) {
+		runs.Add(1)
+		return Result{}, failed
+	}, func(Result) {})
+	if !errors.Is(err, failed) || runs.Load() > 2 {
+		t.Errorf("%v after %d runs", err, runs.Load())
+	}
+}
+
+// A gateway starves when it rejects enough requests for long enough with no attempt in between.
+func TestStarvation(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		requests int
+		interval time.Duration
+		attempt  bool
+		want     int
+	}{
+		{"long", starvationRequests + 2, starvationTime / starvationRequests, false, 1},
+		{"twice as long, counted once", 2 * starvationRequests, starvationTime / starvationRequests, false, 1},
+		{"short", 10 * starvationRequests, time.Millisecond, false, 0},
+		{"few requests", starvationRequests - 1, starvationTime, false, 0},
+		{"an attempt in between", starvationRequests + 1, starvationTime / starvationRequests, true, 0},
+	} {
+		watched := newStarvation()
+		for i := range test.requests {
+			at := time.Hour + time.Duration(i)*test.interval
+			watched.Observe(at, emulator.RequestAnswered{Gateway: 1, Answer: emulator.AnswerRejected})
+			if test.attempt && i == test.requests/2 {
+				watched.Observe(at, emulator.AttemptForwarded{Gateway: 1})
+			}
+		}
+		if watched.starved != test.want {
+			t.Errorf("%s: starved %d times, want %d", test.name, watched.starved, test.want)
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -172,9 +172,9 @@
 	case HalfConfigs:
 		r.world.HalfWriteConfig(gateway, min(fault.Length, rereadTime))
 	case FailAccept:
-		r.world.FailSystemCalls(gateway, faultinjection.Accept+" "+acceptErrors[r.choose(place, len(acceptErrors))], fault.Length/4)
+		r.failCalls(fault, gateway, faultinjection.Accept, acceptErrors[r.choose(place, len(acceptErrors))])
 	case FailConnect:
-		r.world.FailSystemCalls(gateway, faultinjection.Connect+" "+connectErrors[r.choose(place, len(connectErrors))], fault.Length/4)
+		r.failCalls(fault, gateway, faultinjection.Connect, connectErrors[r.choose(place, len(connectErrors))])
 	case IdleFlood:
 		if place == 0 {
 			r.clients.flood(address, fault.Length)
@@ -194,6 +194,12 @@
 	}
 }
 
+// failCalls makes a system call of a gateway fail for a part of a fault's time: such failures last for a moment.
+func (r *runner) failCalls(fault Fault, gateway int, call, failure string) {
+	const share = 4
+	r.world.FailSystemCalls(gateway, call+" "+failure, fault.Length/share)
+}
+
 // rereadTime is for how long a gateway reads a file again that it cannot use, less a reserve.
 const rereadTime = 1500 * time.Millisecond
 
