--- a/internal/emulator/loopback/response.go
+++ b/internal/emulator/loopback/response.go
@@ -23,6 +23,7 @@
 	closes    bool      // the connection ends with it
 	truncated bool      // it ends in the middle of the body
 	stray     *response // a second answer on the same connection; nil: none
+	fault     byteFault // of its bytes
 }
 
 // encode returns the response as it is written.
@@ -62,7 +63,11 @@
 	r.body = fmt.Sprintf("endpoint %d made this for request %016x, attempt %d\n",
 		a.conn.endpoint.id, uint64(a.request.arrival.Request), a.number)
 	w.spoil(r)
-	if !r.truncated {
+	r.fault = w.drawByteFault(w.attemptRandom)
+	if r.fault.endsEarly() {
+		r.closes = true
+	}
+	if !r.truncated && !r.fault.endsEarly() {
 		a.request.bodies = append(a.request.bodies, r.body)
 	}
 	return r
--- a/internal/emulator/loopback/upstream_connection.go
+++ b/internal/emulator/loopback/upstream_connection.go
@@ -102,7 +102,7 @@
 func (c *upstreamConnection) write(r *response, answered chan<- struct{}) {
 	c.endpoint.world.running.Go(func() {
 		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // a write on a closed connection fails by itself
-		_, err := c.conn.Write(r.encode())
+		err := c.writeBytes(r.encode(), r.fault)
 		if err == nil && r.stray != nil && c.endpoint.world.pause(strayDelay) {
 			_, err = c.conn.Write(r.stray.encode())
 		}
--- a/internal/emulator/loopback/world.go
+++ b/internal/emulator/loopback/world.go
@@ -49,15 +49,16 @@
 	gatewayRandom *rand.Rand
 	attemptRandom *rand.Rand
 
-	endpoints     []*endpoint // by id, from 1: endpoints[0] is that of id 1
-	gateways      []*gateway
-	requests      map[emulator.RequestKey]*request
-	discoveryDown bool
-	listSpread    time.Duration // over which agents write a complete list; 0: at once
-	zoneCuts      []int         // by zone: partitions that cut it off from the others now
-	resetShare    float64
-	spoiltShare   float64
-	lastObserved  time.Duration // the time of an observation is never before that of the one before
+	endpoints      []*endpoint // by id, from 1: endpoints[0] is that of id 1
+	gateways       []*gateway
+	requests       map[emulator.RequestKey]*request
+	discoveryDown  bool
+	byteFaultShare float64       // of the responses whose bytes are spoilt
+	listSpread     time.Duration // over which agents write a complete list; 0: at once
+	zoneCuts       []int         // by zone: partitions that cut it off from the others now
+	resetShare     float64
+	spoiltShare    float64
+	lastObserved   time.Duration // the time of an observation is never before that of the one before
 
 	ready       chan struct{} // closed when all gateways have become ready for the first time
 	notReady    int           // gateways that have not
--- a/internal/faultinjection/faultinjection.go
+++ b/internal/faultinjection/faultinjection.go
@@ -83,8 +83,26 @@
 	return l.TCPListener.Accept()
 }
 
-// Dial connects to an endpoint or fails. It has the signature of net.Dialer.DialContext.
+// Late, in the place of an error, lets a call of connect succeed only after lateConnect.
+const Late = "LATE"
+
+const lateConnect = time.Second
+
+// isLate reports whether connections are to come up late now.
+func (i *Injector) isLate() bool {
+	text, err := os.ReadFile(i.control)
+	return err == nil && strings.Contains(string(text), Connect+" "+Late)
+}
+
+// Dial connects to an endpoint, late or not, or fails. It has the signature of net.Dialer.DialContext.
 func (i *Injector) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if i.isLate() {
+		select {
+		case <-time.After(lateConnect):
+		case <-ctx.Done():
+			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+		}
+	}
 	if err := i.failure(Connect); err != nil {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 	}
--- a/internal/soak/findings.go
+++ b/internal/soak/findings.go
@@ -20,7 +20,7 @@
 	Kind(emulator.FaultDrainEndpoints), Kind(emulator.FaultReplace), Kind(emulator.FaultStopEndpoints),
 	Kind(emulator.FaultPartition), Kind(emulator.FaultKillGateways), Kind(emulator.FaultResets),
 	Kind(emulator.FaultSpoiltAnswers), Kind(emulator.FaultSilentEndpoints), Kind(emulator.FaultSlowEndpoints),
-	PauseGateways, IdleFlood,
+	PauseGateways, IdleFlood, LateConnects, SpoiltBytes,
 }
 
 // findings collects what a run has broken.
--- a/internal/soak/kind.go
+++ b/internal/soak/kind.go
@@ -21,6 +21,8 @@
 	ClockOffset     Kind = "clock_offset"     // the wall clock of the gateways is an hour off, from the start
 	IdleFlood       Kind = "idle_flood"       // connections that send nothing
 	StalledClients  Kind = "stalled_clients"  // clients that stop inside a request and stay
+	LateConnects    Kind = "late_connects"    // connections to endpoints come up late
+	SpoiltBytes     Kind = "spoilt_bytes"     // responses are cut, stalled, dribbled or doubled at any byte
 	PipeliningCrowd Kind = "pipelining_crowd" // clients that send much behind a request, and go or stay
 )
 
@@ -37,7 +39,7 @@
 // Kinds returns all kinds of fault.
 func Kinds() []Kind {
 	return append(slices.Clone(scheduled), PauseGateways, CloseLogs, StallLogs, HalfConfigs, FailAccept, FailConnect,
-		SlowLists, ClockOffset, IdleFlood, StalledClients, PipeliningCrowd)
+		SlowLists, ClockOffset, IdleFlood, StalledClients, PipeliningCrowd, LateConnects, SpoiltBytes)
 }
 
 // isScheduled reports whether the scenario's fault schedule carries out faults of the kind.
--- a/internal/soak/report_test.go
+++ b/internal/soak/report_test.go
@@ -24,7 +24,7 @@
 	if err := report.Write(&text); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"2 runs, 15 requests", "1 of 351 pairs", "found: crash; seeds [9]; ended"} {
+	for _, want := range []string{"2 runs, 15 requests", "1 of 406 pairs", "found: crash; seeds [9]; ended"} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("%q is missing in:\n%s", want, text.String())
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -144,9 +144,13 @@
 		return
 	}
 	addresses := r.world.Addresses().Gateways
-	if fault.Kind == SlowLists {
+	switch fault.Kind {
+	case SlowLists:
 		r.world.SlowLists(slowListSpread, fault.Length)
 		return
+	case SpoiltBytes:
+		r.world.SpoilBytes(failFactor, fault.Length)
+		return
 	}
 	for place, gateway := range r.some(fault) {
 		r.clients.running.Go(func() { r.injectAt(fault, place, gateway, addresses[gateway].Listen) })
@@ -175,6 +179,8 @@
 		r.failCalls(fault, gateway, faultinjection.Accept, acceptErrors[r.choose(place, len(acceptErrors))])
 	case FailConnect:
 		r.failCalls(fault, gateway, faultinjection.Connect, connectErrors[r.choose(place, len(connectErrors))])
+	case LateConnects:
+		r.world.FailSystemCalls(gateway, faultinjection.Connect+" "+faultinjection.Late, fault.Length)
 	case IdleFlood:
 		if place == 0 {
 			r.clients.flood(address, fault.Length)
