--- a/internal/emulator/loopback/endpoint.go
+++ b/internal/emulator/loopback/endpoint.go
@@ -36,17 +36,7 @@
 		cell:    cell,
 		address: listener.Addr().String(),
 	}
-	spread := w.scenario.Endpoints.SpeedSpread
-	e.server = model.NewServer(model.ServerSpec{
-		ID:        e.id,
-		Zone:      zone,
-		Cell:      cell,
-		Endpoints: w.scenario.Endpoints,
-		WarmUp:    w.scenario.WarmUp,
-		Speed:     1 + spread*(2*w.serverRandom.Float64()-1),
-		MeanWork:  model.MeanWork(w.scenario),
-		StartedAt: startedAt,
-	}, w.scheduler, w.serverRandom)
+	e.server = model.NewScenarioServer(w.scenario, e.id, zone, cell, startedAt, w.scheduler, w.serverRandom)
 	e.server.OnOverload = func(informedShare float64) {
 		w.observe(emulator.EndpointOverloaded{Endpoint: e.id, InformedShare: informedShare})
 		e.stop()
--- a/internal/emulator/loopback/run.go
+++ b/internal/emulator/loopback/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"springfield/internal/emulator/model"
@@ -65,7 +64,7 @@
 func (w *World) beginLoad() {
 	start := w.scheduler.Now() + loadDelay
 	w.workload = model.NewWorkload(w.scenario, w.options.Seed, start)
-	faults := rand.New(rand.NewPCG(w.options.Seed, streamFaults))
+	faults := model.StreamFaults.Random(w.options.Seed)
 	w.scheduler.After(loadDelay, func() {
 		model.ScheduleFaults(w.scenario, w.scheduler, faults, faultTarget{w}, w.options.Observer)
 	})
--- a/internal/emulator/loopback/world.go
+++ b/internal/emulator/loopback/world.go
@@ -13,20 +13,6 @@
 	"springfield/policy"
 )
 
-// Streams of the random numbers of a run, as in a virtual one. Those of the workload are its own.
-const (
-	streamServers uint64 = iota + 1
-	streamNetwork
-	streamMeter
-	streamDiscovery
-	streamFaults
-	streamGateways
-	streamAttempts
-)
-
-// cellsPerZone is the number of cells that the endpoints of a zone are divided into.
-const cellsPerZone = 4
-
 // World is a deployment on sockets: its endpoints, discovery, clients and gateway processes.
 type World struct {
 	options   Options
@@ -88,7 +74,6 @@
 }
 
 func newWorld(ctx context.Context, options Options) *World {
-	stream := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, number)) }
 	if options.Logger == nil {
 		options.Logger = slog.Default()
 	}
@@ -101,11 +86,11 @@
 		scheduler:     emulator.NewWallScheduler(),
 		logger:        options.Logger,
 		subnet:        newSubnet(),
-		network:       model.NewNetwork(options.Scenario.Network, stream(streamNetwork)),
-		meter:         model.NewMeter(options.Scenario.Meter, stream(streamMeter)),
-		serverRandom:  stream(streamServers),
-		gatewayRandom: stream(streamGateways),
-		attemptRandom: stream(streamAttempts),
+		network:       model.NewNetwork(options.Scenario.Network, model.StreamNetwork.Random(options.Seed)),
+		meter:         model.NewMeter(options.Scenario.Meter, model.StreamMeter.Random(options.Seed)),
+		serverRandom:  model.StreamServers.Random(options.Seed),
+		gatewayRandom: model.StreamGateways.Random(options.Seed),
+		attemptRandom: model.StreamAttempts.Random(options.Seed),
 		requests:      map[emulator.RequestKey]*request{},
 		zoneCuts:      make([]int, model.Zones(&options.Scenario)),
 		ready:         make(chan struct{}),
@@ -114,7 +99,7 @@
 		settled:       make(chan struct{}),
 	}
 	w.ctx, w.cancel = context.WithCancel(ctx)
-	w.discovery = model.NewDiscovery(options.Scenario.Discovery, w.scheduler, stream(streamDiscovery))
+	w.discovery = model.NewDiscovery(options.Scenario.Discovery, w.scheduler, model.StreamDiscovery.Random(options.Seed))
 	w.discovery.OnOverdue = w.notified
 	w.launcher = newLauncher()
 	return w
@@ -149,7 +134,7 @@
 
 func (w *World) openListeners(gatewayAddresses []string) error {
 	for number := range w.scenario.Endpoints.Count {
-		zone, cell := model.ZoneOf(w.scenario, number), number/model.Zones(w.scenario)%cellsPerZone
+		zone, cell := model.ZoneOf(w.scenario, number), model.CellOf(w.scenario, number)
 		if err := w.addEndpoint(zone, cell, 0); err != nil {
 			return err
 		}
--- a/internal/emulator/virtual/endpoint.go
+++ b/internal/emulator/virtual/endpoint.go
@@ -21,17 +21,7 @@
 // addEndpoint starts a new endpoint. startedAt 0 means that it has run for long.
 func (w *world) addEndpoint(zone, cell int, startedAt time.Duration) {
 	e := &endpoint{id: policy.EndpointID(len(w.endpoints) + 1), zone: zone, cell: cell}
-	spread := w.scenario.Endpoints.SpeedSpread
-	e.server = model.NewServer(model.ServerSpec{
-		ID:        e.id,
-		Zone:      zone,
-		Cell:      cell,
-		Endpoints: w.scenario.Endpoints,
-		WarmUp:    w.scenario.WarmUp,
-		Speed:     1 + spread*(2*w.serverRandom.Float64()-1),
-		MeanWork:  model.MeanWork(w.scenario),
-		StartedAt: startedAt,
-	}, w.scheduler, w.serverRandom)
+	e.server = model.NewScenarioServer(w.scenario, e.id, zone, cell, startedAt, w.scheduler, w.serverRandom)
 	e.server.OnOverload = func(informedShare float64) { w.endpointOverloaded(e, informedShare) }
 	w.endpoints = append(w.endpoints, e)
 	w.truth.addEndpoint()
--- a/internal/emulator/virtual/world.go
+++ b/internal/emulator/virtual/world.go
@@ -9,20 +9,6 @@
 	"springfield/policy"
 )
 
-// Streams of the random numbers of a run. Those of the workload are its own.
-const (
-	streamServers uint64 = iota + 1
-	streamNetwork
-	streamMeter
-	streamDiscovery
-	streamFaults
-	streamGateways
-	streamAttempts
-)
-
-// cellsPerZone is the number of cells that the endpoints of a zone are divided into.
-const cellsPerZone = 4
-
 // world is a deployment on virtual time.
 type world struct {
 	scenario   *emulator.Scenario
@@ -56,30 +42,29 @@
 
 func newWorld(options *Options) *world {
 	scenario := &options.Scenario
-	stream := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, number)) }
 	w := &world{
 		scenario:      scenario,
 		seed:          options.Seed,
 		newDecider:    options.NewDecider,
 		observer:      options.Observer,
 		scheduler:     emulator.NewVirtualScheduler(StartTime),
-		network:       model.NewNetwork(scenario.Network, stream(streamNetwork)),
-		meter:         model.NewMeter(scenario.Meter, stream(streamMeter)),
+		network:       model.NewNetwork(scenario.Network, model.StreamNetwork.Random(options.Seed)),
+		meter:         model.NewMeter(scenario.Meter, model.StreamMeter.Random(options.Seed)),
 		ledger:        model.NewLedger(scenario.Plans),
-		serverRandom:  stream(streamServers),
-		gatewayRandom: stream(streamGateways),
-		attemptRandom: stream(streamAttempts),
+		serverRandom:  model.StreamServers.Random(options.Seed),
+		gatewayRandom: model.StreamGateways.Random(options.Seed),
+		attemptRandom: model.StreamAttempts.Random(options.Seed),
 		zoneCuts:      make([]int, model.Zones(scenario)),
 	}
 	if w.observer == nil {
 		w.observer = emulator.Observers{}
 	}
 	w.workload = model.NewWorkload(scenario, options.Seed, StartTime)
-	w.discovery = model.NewDiscovery(scenario.Discovery, w.scheduler, stream(streamDiscovery))
+	w.discovery = model.NewDiscovery(scenario.Discovery, w.scheduler, model.StreamDiscovery.Random(options.Seed))
 	w.discovery.OnOverdue = func(gateway int, list []policy.Endpoint) { w.gateways[gateway].countAsNotified(list) }
 	w.truth = newTruth(w)
 	for number := range scenario.Endpoints.Count {
-		w.addEndpoint(model.ZoneOf(scenario, number), number/model.Zones(scenario)%cellsPerZone, 0)
+		w.addEndpoint(model.ZoneOf(scenario, number), model.CellOf(scenario, number), 0)
 	}
 	for number := range scenario.Gateways {
 		w.gateways = append(w.gateways, newGateway(w, number))
@@ -93,7 +78,7 @@
 	for _, g := range w.gateways {
 		g.start(list)
 	}
-	faults := rand.New(rand.NewPCG(w.seed, streamFaults))
+	faults := model.StreamFaults.Random(w.seed)
 	model.ScheduleFaults(w.scenario, w.scheduler, faults, faultTarget{w}, w.observer)
 	w.scheduleNextArrival()
 }
--- a/internal/faultinjection/faultinjection.go
+++ b/internal/faultinjection/faultinjection.go
@@ -83,7 +83,7 @@
 	return l.TCPListener.Accept()
 }
 
-// Late, in the place of an error, lets a call of connect succeed only after lateConnect.
+// Late stands in the place of an error and lets a call of connect succeed only after lateConnect.
 const Late = "LATE"
 
 const lateConnect = time.Second
