--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -103,6 +103,9 @@
 	}
 }
 
+// now returns the present time on both clocks.
+func (c *Client) now() moment { return moment{monotonic: c.clock.Now(), wall: time.Now()} }
+
 func instancesURL(address string) string { return "http://" + address + instancesPath }
 
 // FirstResponse returns a channel that is closed when discovery has first answered.
@@ -128,7 +131,7 @@
 	if list.Full {
 		c.listURL, c.listVersion = c.url, list.Version
 	}
-	applied, err := c.sink.PublishEndpoints(ctx, c.decoder.update(c.clock.Now(), policy.UpdateCached, list))
+	applied, err := c.sink.PublishEndpoints(ctx, c.decoder.update(c.now(), policy.UpdateCached, list))
 	if err != nil {
 		return // the sink or the context has ended, and the gateway with it
 	}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -74,7 +74,7 @@
 
 // update converts a list that has arrived at the given time. Invalid entries are skipped. The numbers of endpoints that
 // are no longer listed are released.
-func (d *decoder) update(now time.Duration, kind policy.UpdateKind, list EndpointList) Update {
+func (d *decoder) update(now moment, kind policy.UpdateKind, list EndpointList) Update {
 	update := Update{Kind: kind}
 	for i := range list.Servers {
 		instance := &list.Servers[i]
@@ -94,14 +94,14 @@
 		})
 	}
 	for _, name := range d.ids.releaseUnlisted(update) {
-		d.starts.unlist(now, name)
+		d.starts.unlist(now.monotonic, name)
 	}
-	d.starts.forget(now)
+	d.starts.forget(now.monotonic)
 	return update
 }
 
 // startedAt returns when an endpoint has started. Of one that is removed that is of no account.
-func (d *decoder) startedAt(now time.Duration, instance *Instance) time.Duration {
+func (d *decoder) startedAt(now moment, instance *Instance) time.Duration {
 	if instance.State == stateRemoved {
 		return 0
 	}
--- a/internal/discovery/start_times.go
+++ b/internal/discovery/start_times.go
@@ -12,19 +12,31 @@
 	maxDepartedStarts = 8192
 )
 
+// maxClockError is by how much this machine's wall clock may differ from that of the endpoints. The operators name
+// steps of seconds and of an hour; two of these may come together.
+const maxClockError = 2*time.Hour + 5*time.Minute
+
 // startTimes tells when the listed endpoints have started, on the gateway's own clock.
 //
-// Discovery gives start times by the wall clock of other machines. This machine's wall clock may differ from it by any
-// time: it may be wrong when the process starts, and be stepped while it runs. An endpoint that has just started must
-// not count as warm, for it would be overloaded, nor one that has run for long as just started for an hour. A start
-// time therefore serves as the name of a start alone: the endpoint counts as started when this process first learns of
-// it. That is never too early, and too late by as much as discovery takes or, for a new process, by the age of the
-// endpoint; it then has its full share once the warm-up has passed on the monotonic clock.
+// Discovery gives start times by the wall clock of other machines, and this machine's may be wrong when the process
+// starts and be stepped while it runs. An endpoint that has just started must not count as warm, for it would be
+// overloaded, nor one that has run for long as just started for an hour. A start time therefore serves as the name of a
+// start, and as a time only where no error of the clock matters: an endpoint that has run for far longer than
+// maxClockError has started long ago. Any other counts as started when this process first learns of it. That is never
+// too early, and too late by as much as discovery takes or, for a new process, by the age of the endpoint; it then has
+// its full share once the warm-up has passed on the monotonic clock.
 type startTimes struct {
 	listed   map[string]startRecord
 	departed map[string]startRecord
 }
 
+// moment is a time on both clocks of this machine: on the policy's axis, which follows the monotonic clock, and by the
+// wall clock, which may be wrong.
+type moment struct {
+	monotonic time.Duration
+	wall      time.Time
+}
+
 // startRecord is what is known of an endpoint's latest start.
 type startRecord struct {
 	startedMS int64 // as discovery gives it
@@ -37,7 +49,7 @@
 }
 
 // record returns when an endpoint that is listed with a start time has started. 0 is long ago.
-func (s *startTimes) record(now time.Duration, name string, startedMS int64) time.Duration {
+func (s *startTimes) record(now moment, name string, startedMS int64) time.Duration {
 	if startedMS <= 0 {
 		s.listed[name] = startRecord{}
 		return 0
@@ -48,7 +60,10 @@
 		delete(s.departed, name)
 	}
 	if !ok || known.startedMS != startedMS {
-		known = startRecord{startedMS: startedMS, learntAt: now}
+		known = startRecord{startedMS: startedMS, learntAt: now.monotonic}
+		if now.wall.Sub(time.UnixMilli(startedMS)) > maxClockError {
+			known.learntAt = 0
+		}
 	}
 	s.listed[name] = known
 	return known.learntAt
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -156,7 +156,7 @@
 	if list.Full {
 		kind = policy.UpdateFull
 	}
-	if _, err := c.sink.PublishEndpoints(ctx, c.decoder.update(c.clock.Now(), kind, list)); err != nil {
+	if _, err := c.sink.PublishEndpoints(ctx, c.decoder.update(c.now(), kind, list)); err != nil {
 		return // ctx or the sink has ended; the version stays, so that the next watch delivers the change again
 	}
 	c.listURL, c.listVersion = url, list.Version
--- a/internal/emulator/loopback/gateway.go
+++ b/internal/emulator/loopback/gateway.go
@@ -55,6 +55,7 @@
 	ending       bool // its process has ended, but clients may still read from it
 	startsAgain  bool // it is started when its process has ended
 	stopObserved bool // of the present process
+	withoutList  bool // its configuration holds no endpoint list
 	wasReady     bool // once
 
 	known     map[policy.EndpointID]policy.Endpoint // of which it counts as notified
@@ -109,6 +110,9 @@
 // writeConfig writes the configuration with the endpoint list that the gateway held last.
 func (g *gateway) writeConfig() error {
 	version, list := g.heldList()
+	if g.withoutList {
+		version, list = 0, nil
+	}
 	text, err := json.MarshalIndent(gatewayConfig{
 		Name:      fmt.Sprintf("gateway-%d", g.index),
 		Listen:    g.address,
--- a/internal/emulator/loopback/options.go
+++ b/internal/emulator/loopback/options.go
@@ -22,6 +22,9 @@
 	// ClockOffset is by how much the wall clock of the endpoints' machines differs from that of the gateways'.
 	ClockOffset time.Duration
 
+	// ColdStart starts all endpoints together with the gateways; otherwise they have run for long.
+	ColdStart bool
+
 	// KillDelay is added to the time after which a gateway that shuts down is killed.
 	KillDelay time.Duration
 
--- a/internal/emulator/loopback/process_faults.go
+++ b/internal/emulator/loopback/process_faults.go
@@ -94,6 +94,17 @@
 	})
 }
 
+// RestartWithoutList kills the process of a gateway and starts another one whose configuration holds no endpoint list.
+func (w *World) RestartWithoutList(index int) {
+	const down = 50 * time.Millisecond
+	w.scheduler.Do(func() {
+		g := w.gateways[index]
+		g.withoutList = true
+		g.killByFault()
+		w.scheduler.After(down, g.start)
+	})
+}
+
 // ShutDownGateways sends SIGTERM to all processes and waits until they have ended, up to a timeout. It reports how many
 // have not.
 func (w *World) ShutDownGateways(timeout time.Duration) (remaining int) {
--- a/internal/soak/findings.go
+++ b/internal/soak/findings.go
@@ -42,7 +42,7 @@
 	add("late start", summary.ReadinessTimeouts, "gateways were not ready in time")
 	add("late end", summary.DrainsKilled+remaining, "gateways did not end after SIGTERM")
 	add("unknown request", int(summary.UnknownRequests), "endpoints got requests that no client had sent")
-	add("starvation", starved, "gateways rejected all that they got for four seconds")
+	add("starvation", starved, "gateways rejected all that they got for five seconds")
 	add("stalled client kept", int(r.clients.kept.Load()), "connections outlasted the time that bad clients are owed")
 	add("pipelined request unanswered", int(r.clients.unanswered.Load()), "connections ended before the last answer")
 	return append(findings, r.logFindings()...)
--- a/internal/soak/kind.go
+++ b/internal/soak/kind.go
@@ -17,8 +17,8 @@
 	HalfConfigs     Kind = "half_configs"     // SIGHUP with a configuration that is written in halves
 	FailAccept      Kind = "fail_accept"      // accept fails
 	FailConnect     Kind = "fail_connect"     // connect fails for a reason of the gateway's machine
-	SlowLists       Kind = "slow_lists"       // complete lists take 4.5 s to arrive
-	ClockOffset     Kind = "clock_offset"     // the wall clock of the gateways is an hour off, from the start
+	SlowLists       Kind = "slow_lists"       // lists arrive slowly, and gateways start without one
+	ClockOffset     Kind = "clock_offset"     // the wall clock of the gateways is an hour off, and all endpoints are cold
 	IdleFlood       Kind = "idle_flood"       // connections that send nothing
 	StalledClients  Kind = "stalled_clients"  // clients that stop inside a request and stay
 	LateConnects    Kind = "late_connects"    // connections to endpoints come up late
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	loadLength    = 7 * time.Second
+	loadLength    = 8 * time.Second
 	faultsBegin   = 1500 * time.Millisecond
 	faultsSpread  = time.Second // between the begins of two faults at most
 	minFault      = 1500 * time.Millisecond
@@ -99,7 +99,7 @@
 		Name: "soak", Length: emulator.Duration(loadLength), Gateways: p.Gateways, Zones: zones,
 		Endpoints: emulator.Endpoints{Count: endpoints, Cores: 1, Slots: 4, WaitingRoom: 16, SpeedSpread: 0.2,
 			MaxConnections: 400, IdleTimeout: ms(5000), DrainGrace: ms(1000)},
-		WarmUp:    emulator.WarmUp{InitialCapacity: 0.2, Duration: ms(4000), OverloadFactor: 2.5, OverloadWindow: ms(1000)},
+		WarmUp:    emulator.WarmUp{InitialCapacity: 0.2, Duration: ms(6500), OverloadFactor: 2.5, OverloadWindow: ms(1000)},
 		Network:   emulator.Network{Delay: ms(1), Jitter: 0.5, DialTimeout: ms(250), FrontDelay: ms(500)},
 		Discovery: emulator.Discovery{DelayMin: ms(20), DelayMax: ms(200)},
 		Meter:     emulator.Meter{Period: ms(1000), DelayMin: ms(100), DelayMax: ms(400)},
@@ -113,7 +113,7 @@
 				Work: ms(16), WorkSpread: 0.5},
 		},
 		Plans: []emulator.Plan{{Name: "team", Share: 1, Rate: 20, Burst: 40, Price: 1, OverQuotaCost: 0.5}},
-		Clients: emulator.Clients{Load: 0.45, MaxUnits: 2, SetMin: 0.5, SetMax: 1, CalmUse: 0.5, Retries: 1,
+		Clients: emulator.Clients{Load: 0.7, MaxUnits: 2, SetMin: 0.5, SetMax: 1, CalmUse: 0.5, Retries: 1,
 			RetryDelay: ms(100), Patience: 0.8, Abandon: 0.05},
 	}
 	for _, fault := range p.Faults {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,7 +23,7 @@
 
 	pauseLength    = 150 * time.Millisecond
 	pauseInterval  = 600 * time.Millisecond
-	slowListSpread = 4500 * time.Millisecond
+	slowListSpread = 3900 * time.Millisecond // longer than a call to discovery may be silent
 	hour           = time.Hour
 	affected       = 3 // gateways that a fault of single gateways affects
 )
@@ -78,6 +78,7 @@
 		Gateway:     options.Gateway,
 		GatewayArgs: options.GatewayArgs,
 		ClockOffset: plan.clockOffset(),
+		ColdStart:   plan.has(ClockOffset),
 		KillDelay:   killDelay,
 		Directory:   options.Directory,
 		Observer:    emulator.Observers{checker, starving, lastObserved{&last}},
@@ -113,9 +114,9 @@
 // clockOffset is by how much the clocks of the endpoints and of the gateways differ in a run.
 func (p *Plan) clockOffset() time.Duration {
 	switch {
-	case !p.has(ClockOffset):
+	case !p.has(ClockOffset), p.Seed%3 == 0:
 		return 0
-	case p.Seed%2 == 0:
+	case p.Seed%3 == 1:
 		return hour
 	default:
 		return -hour
@@ -145,8 +146,11 @@
 	}
 	addresses := r.world.Addresses().Gateways
 	switch fault.Kind {
-	case SlowLists:
-		r.world.SlowLists(slowListSpread, fault.Length)
+	case SlowLists: // to the end of the load, for processes that start without a list
+		r.world.SlowLists(slowListSpread, loadLength)
+		for _, gateway := range r.some(fault) {
+			r.world.RestartWithoutList(gateway)
+		}
 		return
 	case SpoiltBytes:
 		r.world.SpoilBytes(failFactor, fault.Length)
--- a/internal/soak/starvation.go
+++ b/internal/soak/starvation.go
@@ -7,9 +7,9 @@
 )
 
 // A gateway that rejects all that it gets for starvationTime, at least starvationRequests, with no attempt in between,
-// starves. The operators count the same, with four seconds.
+// starves. The operators count the same, with four seconds; a list may take nearly as long here.
 const (
-	starvationTime     = 4 * time.Second
+	starvationTime     = 5 * time.Second
 	starvationRequests = 15
 )
 
