--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -33,7 +33,8 @@
 		ep.latencyPerUnit = max(ep.latencyPerUnit, e.latencyPerUnit) * rejectionPenalty
 		e.recordFailure(now, ep) // it may be draining, seconds before the endpoint list says so
 	case StatusLocalFailure:
-		// Nothing is held against it but in comparison: if it alone cannot be reached from here, others are preferred.
+		// Nothing is held against it but in comparison: if it alone cannot be reached from here, others are
+		// preferred.
 		ep.measuredAt = now
 		ep.latencyPerUnit = max(ep.latencyPerUnit, e.latencyPerUnit) * rejectionPenalty
 	case StatusServerError, StatusConnectFailed, StatusReset:
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -27,8 +27,9 @@
 	}
 }
 
-// retryOrHold goes on after an attempt that failed on this machine. No endpoint was asked, so that it costs nothing of
-// the retry budget; but the next attempt would fail at once in the same way, so it waits for a moment first.
+// retryOrHold goes on after an attempt that failed on this machine. No endpoint was asked, so that it costs
+// nothing of the retry budget; but the next attempt would fail at once in the same way, so it waits for a
+// moment first.
 func (e *Engine) retryOrHold(now time.Duration, r *request) {
 	delay := r.class.LatencyObjective / queueRetries
 	if e.attemptsExhausted(r) || now+delay+e.expectedLatency(r.Units) >= r.deadline {
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -7,12 +7,12 @@
 	minInitialCapacity = 0.01 // share of its capacity at which an endpoint starts at least
 	rateManagerPeriods = 10   // least averaging time of forwardRate, in passes of the manager
 
-	// safeDemandShare is the part of what is requested that endpoints surely bear once they are warm: all but requests of
-	// over 2.5 times their capacity.
+	// safeDemandShare is the part of what is requested that endpoints surely bear once they are warm: all but
+	// requests of over 2.5 times their capacity.
 	safeDemandShare = 0.4
 
-	// warmUpFreeCalls is how many calls in each window the whole fleet may make at an endpoint whatever it bears. The
-	// operators leave three for chance where it bears nothing at all.
+	// warmUpFreeCalls is how many calls in each window the whole fleet may make at an endpoint whatever it
+	// bears. The operators leave three for chance where it bears nothing at all.
 	warmUpFreeCalls = 2
 
 	leastWarmUpTokens = 1e-9 // units; lets a request pass that the bucket has just earned
@@ -28,16 +28,16 @@
 	return initial + (1-initial)*max(0, age.Seconds())/e.cfg.WarmUpDuration.Seconds()
 }
 
-// warmUpShare is the part of a rate of the whole that an endpoint in slow start may get: its share among equal warm
-// endpoints, times what it bears by now.
+// warmUpShare is the part of a rate of the whole that an endpoint in slow start may get: its share among
+// equal warm endpoints, times what it bears by now.
 func (e *Engine) warmUpShare(now time.Duration, ep *endpoint) float64 {
 	budget := warmUpMargin * max(1, e.cfg.WarmUpOverloadFactor) * e.warmth(now, ep)
 	return budget * ep.Weight / e.readyWeight
 }
 
 // warmUpBudgetAllows keeps the rule on slow start by a bucket that a request may take below zero. It starts
-// below zero at random, to spread the first requests of many gateways that learn of a start at once. A few calls
-// of the whole fleet are free, which the rule leaves for chance.
+// below zero at random, to spread the first requests of many gateways that learn of a start at once. A few
+// calls of the whole fleet are free, which the rule leaves for chance.
 func (e *Engine) warmUpBudgetAllows(now time.Duration, ep *endpoint, units float64) bool {
 	if e.warmth(now, ep) >= 1 {
 		return true
@@ -53,9 +53,9 @@
 	return ep.warmUpBucket.tokens > 0
 }
 
-// refillWarmUpBucket adds what the endpoint bears since the last time. The rate of the whole is what this gateway has
-// forwarded, on an average that remembers the time before a fault. Where that tells nothing, as in a new gateway or
-// after a quiet time, a safe part of what is requested here takes its place.
+// refillWarmUpBucket adds what the endpoint bears since the last time. The rate of the whole is what this
+// gateway has forwarded, on an average that remembers the time before a fault. Where that tells nothing, as
+// in a new gateway or after a quiet time, a safe part of what is requested here takes its place.
 func (e *Engine) refillWarmUpBucket(now time.Duration, ep *endpoint, units float64) {
 	share := e.warmUpShare(now, ep)
 	window := e.cfg.WarmUpOverloadWindow.Seconds()
