--- a/internal/discovery/start_times_test.go
+++ b/internal/discovery/start_times_test.go
@@ -26,7 +26,8 @@
 }
 
 // The wall clock of this machine may be wrong, before the process starts and while it runs: what a start time says
-// against it is not used within its possible error. An endpoint counts as started when this process learns of the start.
+// against it is not used within its possible error. An endpoint counts as started when this process learns of the
+// start.
 func TestStartTimeIsWhenTheStartIsLearnt(t *testing.T) {
 	const now = 1000 * time.Hour
 	wall := time.Now()
--- a/internal/emulator/loopback/response.go
+++ b/internal/emulator/loopback/response.go
@@ -63,7 +63,9 @@
 	r.body = fmt.Sprintf("endpoint %d made this for request %016x, attempt %d\n",
 		a.conn.endpoint.id, uint64(a.request.arrival.Request), a.number)
 	w.spoil(r)
-	r.fault = w.drawByteFault(w.attemptRandom)
+	if !r.truncated { // what is cut short and then doubled would be another whole response
+		r.fault = w.drawByteFault(w.attemptRandom)
+	}
 	if r.fault.endsEarly() {
 		r.closes = true
 	}
--- a/internal/emulator/loopback/watch.go
+++ b/internal/emulator/loopback/watch.go
@@ -114,7 +114,9 @@
 		if !isWatch || after != a.version {
 			w.deliver(policy.UpdateFull, a.version, a.list())
 		}
-		a.notifyDeferred()
+		if a.world.listSpread == 0 { // a slow list is not read yet
+			a.notifyDeferred()
+		}
 	}
 	a.watches = append(a.watches, w)
 	return func() {
