--- a/internal/emulator/loopback/gateway.go
+++ b/internal/emulator/loopback/gateway.go
@@ -222,7 +222,11 @@
 	w := g.world
 	w.observe(emulator.GatewayStarted{Gateway: g.index})
 	_, list := g.heldList()
-	g.notified(list)
+	if w.listSpread > 0 {
+		g.agent.notify(list) // it is still on its way
+	} else {
+		g.notified(list)
+	}
 	if g.wasReady {
 		return
 	}
--- a/internal/emulator/loopback/upstream_connection.go
+++ b/internal/emulator/loopback/upstream_connection.go
@@ -28,6 +28,7 @@
 	used     bool     // a request has come on it
 	gateway  int      // whose request that was
 	cutOff   bool     // something was lost on it because of a partition
+	gone     bool     // it has been reset from this side
 	current  *attempt // nil: none is in flight
 }
 
@@ -76,6 +77,9 @@
 // begin handles a request that has been read, in the scheduler. The channel is closed when it has been answered.
 func (c *upstreamConnection) begin(received receivedRequest, answered chan<- struct{}) {
 	world := c.endpoint.world
+	if c.gone {
+		return // the reset has come before the request
+	}
 	first := !c.used
 	c.used = true
 	sender, status := world.identify(received)
@@ -131,6 +135,7 @@
 
 // reset ends the connection with a reset, and the attempt on it before.
 func (c *upstreamConnection) reset() {
+	c.gone = true
 	if c.current != nil {
 		c.current.lose()
 	}
