--- a/internal/discovery/start_times.go
+++ b/internal/discovery/start_times.go
@@ -59,11 +59,11 @@
 		known, ok = s.departed[name]
 		delete(s.departed, name)
 	}
-	if !ok || known.startedMS != startedMS {
+	switch {
+	case !ok && now.wall.Sub(time.UnixMilli(startedMS)) > maxClockError:
+		known = startRecord{startedMS: startedMS}
+	case !ok, known.startedMS != startedMS: // a start that is new to a known endpoint has just been, whatever it says
 		known = startRecord{startedMS: startedMS, learntAt: now.monotonic}
-		if now.wall.Sub(time.UnixMilli(startedMS)) > maxClockError {
-			known.learntAt = 0
-		}
 	}
 	s.listed[name] = known
 	return known.learntAt
--- a/internal/discovery/start_times_test.go
+++ b/internal/discovery/start_times_test.go
@@ -67,6 +67,13 @@
 			t.Errorf("after a step of %v: started at %v", step, got)
 		}
 	}
+	// Another start of a known endpoint is a new process, also where the clock takes it for long past.
+	const later = 2 * time.Hour
+	started["a"]--
+	now := moment{monotonic: later, wall: wall}
+	if got := startOf(t, decoder.update(now, policy.UpdateDelta, listed(false, started))); got != later {
+		t.Errorf("restarted: started %v before", later-got)
+	}
 }
 
 // An endpoint without a start time has run for long.
--- a/internal/eventloop/actions.go
+++ b/internal/eventloop/actions.go
@@ -1,6 +1,8 @@
 package eventloop
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"springfield/internal/counters"
@@ -65,6 +67,13 @@
 // WatchEndpoints does nothing: discovery always watches the endpoint list.
 func (a actions) WatchEndpoints(bool) {}
 
+// logDecision logs at the debug level why the engine has ended a call.
+func (l *Loop) logDecision(c *Call) {
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("decided", "request", c.id, "reason", l.engine.LastReason().String())
+	}
+}
+
 // endCall gives a call its last command, unless it has got that already.
 func (l *Loop) endCall(id policy.RequestID, last Command, event counters.Event) {
 	c := l.calls[id]
@@ -73,5 +82,6 @@
 	}
 	delete(l.calls, id)
 	counters.Count(event, c.id)
+	l.logDecision(c)
 	c.commands <- last
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -55,6 +55,17 @@
 	return l
 }
 
+// Decisions returns, as attributes of a log line, how often the engine has had each reason. It is called once Run has
+// returned.
+func (l *Loop) Decisions() []any {
+	<-l.stopped
+	var attributes []any
+	for _, counted := range l.engine.ReasonCounts() {
+		attributes = append(attributes, counted.Reason.String(), counted.Count)
+	}
+	return attributes
+}
+
 // Run handles events until ctx ends. It must be called once.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.stopped)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,11 +79,10 @@
 	// The components outlive ctx: they are needed until the last request is answered.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var running sync.WaitGroup
-	defer logSummary()
+	parts := start(background, &running, cfg, seed, reload, opts)
+	defer logSummary(parts.loop)
 	defer running.Wait()
 	defer stop()
-
-	parts := start(background, &running, cfg, seed, reload, opts)
 	if opts.inspect != nil {
 		opts.inspect(parts.server)
 	}
@@ -105,8 +104,9 @@
 }
 
 // logSummary logs, at the end of the process, what has been counted.
-func logSummary() {
-	slog.Info("summary", append(counters.Summary(), "violations", invariant.Total())...)
+func logSummary(loop *eventloop.Loop) {
+	attributes := append(counters.Summary(), loop.Decisions()...)
+	slog.Info("summary", append(attributes, "violations", invariant.Total())...)
 }
 
 // start builds the components and starts their goroutines, which run until ctx ends. The endpoint list of the
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -12,10 +12,20 @@
 	e.overuse.recordRequest(r)
 	tooMany := e.cfg.MaxOpenRequests > 0 && len(e.requests) > e.cfg.MaxOpenRequests
 	soft := r.customer.plan.OverQuotaValue > r.customer.plan.OverQuotaCost
-	rejected := tooMany || e.overQuota(now, r) && (e.overloaded || !soft)
+	refusal := ReasonNone
+	switch {
+	case tooMany:
+		refusal = RefusedTooManyOpen
+	case e.overQuota(now, r) && (e.overloaded || !soft):
+		refusal = RefusedOverQuota
+	}
 	delay, possible := e.admissionDelay(now, r)
-	if rejected || !possible || delay > r.maxHold() || delay+e.expectedLatency(r.Units) > r.TimeLeft {
-		e.finish(r)
+	tooLong := !possible || delay > r.maxHold() || delay+e.expectedLatency(r.Units) > r.TimeLeft
+	if refusal == ReasonNone && tooLong {
+		refusal = RefusedHoldTooLong
+	}
+	if refusal != ReasonNone {
+		e.finish(r, refusal)
 		return
 	}
 	e.takeTokens(r)
@@ -58,7 +68,8 @@
 }
 
 // finish gives the final answer: a rejection while the client may safely retry, else a failure.
-func (e *Engine) finish(r *request) {
+func (e *Engine) finish(r *request, reason Reason) {
+	e.reasons.note(reason)
 	if r.canReject() {
 		var retryAfter time.Duration
 		if e.cfg.SendRetryAfter && r.customer.plan.QuotaRate > 0 {
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -115,8 +115,12 @@
 // dispatch forwards a request to the cheapest endpoint that may take it. With none it is queued for a little.
 func (e *Engine) dispatch(now time.Duration, r *request) {
 	cannotBeInTime := now+e.expectedLatency(r.Units) > r.arrivedAt+r.class.LatencyObjective
-	if now >= r.deadline || e.overloaded && r.attempts == 0 && cannotBeInTime {
-		e.finish(r)
+	if now >= r.deadline {
+		e.finish(r, RefusedExpired)
+		return
+	}
+	if e.overloaded && r.attempts == 0 && cannotBeInTime {
+		e.finish(r, RefusedTooLate)
 		return
 	}
 	ep := e.chooseEndpoint(now, r)
@@ -132,7 +136,7 @@
 		e.hold(r, delay)
 		return
 	}
-	e.finish(r)
+	e.finish(r, RefusedNoCapacity)
 }
 
 func (e *Engine) forward(now time.Duration, r *request, ep *endpoint) {
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -22,6 +22,7 @@
 	customerList []*customer // in order of arrival, so that the manager's pass is deterministic
 	manager      bandwidthManager
 	overuse      overuseModel
+	reasons      reasonLog
 
 	endpoints    map[EndpointID]*endpoint
 	endpointList []*endpoint // the present ones by rank
@@ -84,6 +85,7 @@
 // Submit takes a client's request, which is owed one final answer.
 func (e *Engine) Submit(now time.Duration, in Request) {
 	if in.Class < 0 || in.Class >= len(e.cfg.Classes) || in.TimeLeft <= 0 {
+		e.reasons.note(RefusedInvalid)
 		e.actions.Reject(in.ID, 0)
 		return
 	}
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -31,7 +31,7 @@
 	case StatusRejected:
 		ep.lastResponse, ep.measuredAt = now, now
 		ep.latencyPerUnit = max(ep.latencyPerUnit, e.latencyPerUnit) * rejectionPenalty
-		e.recordFailure(now, ep) // it may be draining, seconds before the endpoint list says so
+		e.recordFailure(now, ep, EjectedAfterFailure) // it may be draining, seconds before the endpoint list says so
 	case StatusLocalFailure:
 		// Nothing is held against it but in comparison: if it alone cannot be reached from here, others are
 		// preferred.
@@ -39,7 +39,7 @@
 		ep.latencyPerUnit = max(ep.latencyPerUnit, e.latencyPerUnit) * rejectionPenalty
 	case StatusServerError, StatusConnectFailed, StatusReset:
 		ep.lastResponse = now
-		e.recordFailure(now, ep)
+		e.recordFailure(now, ep, EjectedAfterFailure)
 	}
 }
 
@@ -50,11 +50,12 @@
 
 // recordFailure ejects an endpoint at its first failure, since a healthy one makes next to none, for a time
 // that doubles; but never so many endpoints that the rest would be overloaded.
-func (e *Engine) recordFailure(now time.Duration, ep *endpoint) {
+func (e *Engine) recordFailure(now time.Duration, ep *endpoint, reason Reason) {
 	if ep.ejected {
 		ep.backoff = min(maxEjection, 2*max(ep.backoff, minEjection/2))
 		ep.nextTrial = now + ep.backoff
 	} else if e.mayEjectAnother() {
+		e.reasons.note(reason)
 		ep.ejected, ep.backoff, ep.nextTrial = true, minEjection, now+minEjection
 	}
 }
--- a/policy/outlier_test.go
+++ b/policy/outlier_test.go
@@ -61,7 +61,7 @@
 		t.Fatalf("ejected %v until %v after a rejection", ep.ejected, ep.nextTrial)
 	}
 	gateway.now = ep.nextTrial
-	engine.recordFailure(gateway.now, ep) // and again
+	engine.recordFailure(gateway.now, ep, EjectedAfterFailure) // and again
 	if backoff := ep.nextTrial - gateway.now; backoff != 2*minEjection {
 		t.Errorf("ejected for %v after another rejection", backoff)
 	}
--- /dev/null
+++ b/policy/reason_test.go
@@ -0,0 +1,73 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// Each reason has a name of its own.
+func TestReasonsHaveNames(t *testing.T) {
+	seen := map[string]bool{}
+	for reason := range reasonCount {
+		if name := reason.String(); name == "" || seen[name] {
+			t.Errorf("reason %d is called %q", reason, name)
+		}
+		seen[reason.String()] = true
+	}
+}
+
+// What the engine refuses, retries and ejects has its reason.
+func TestReasonsAreCounted(t *testing.T) {
+	count := func(gateway *recorder, want Reason) uint64 {
+		for _, counted := range gateway.engine.ReasonCounts() {
+			if counted.Reason == want {
+				return counted.Count
+			}
+		}
+		return 0
+	}
+	for _, test := range []struct {
+		want Reason
+		run  func(gateway *recorder)
+	}{
+		{RefusedInvalid, func(g *recorder) { g.engine.Submit(0, Request{ID: 1}) }},
+		{RefusedTooManyOpen, func(g *recorder) {
+			g.engine.cfg.MaxOpenRequests = 1
+			g.submit(1, idempotentClass, unknownPlan, 1)
+			g.submit(2, idempotentClass, unknownPlan, 1)
+		}},
+		{RefusedNoCapacity, func(g *recorder) {
+			g.engine.UpdateEndpoints(0, UpdateFull, nil)
+			g.submit(1, idempotentClass, unknownPlan, 1)
+			g.advance(time.Second)
+		}},
+		{RefusedNoRetryBudget, func(g *recorder) {
+			g.submit(1, idempotentClass, unknownPlan, 1)
+			g.engine.retryTokens = 0
+			g.finish(1, StatusServerError, noUsage)
+		}},
+		{RefusedAttemptsUsed, func(g *recorder) {
+			g.engine.cfg.MaxAttempts = 1
+			g.submit(1, idempotentClass, unknownPlan, 1)
+			g.finish(1, StatusServerError, noUsage)
+		}},
+		{RetriedAfterFailure, func(g *recorder) {
+			g.submit(1, idempotentClass, unknownPlan, 1)
+			g.finish(1, StatusServerError, noUsage)
+		}},
+		{RetriedAfterLocal, func(g *recorder) {
+			g.submit(1, idempotentClass, unknownPlan, 1)
+			g.finish(1, StatusLocalFailure, noUsage)
+		}},
+		{EjectedAfterFailure, func(g *recorder) {
+			g.submit(1, idempotentClass, unknownPlan, 1)
+			g.finish(1, StatusServerError, noUsage)
+		}},
+	} {
+		gateway := start(config(), 4)
+		test.run(gateway)
+		if got := count(gateway, test.want); got != 1 {
+			t.Errorf("%v counted %d times: %v", test.want, got, gateway.log)
+		}
+	}
+}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -32,21 +32,31 @@
 // moment first.
 func (e *Engine) retryOrHold(now time.Duration, r *request) {
 	delay := r.class.LatencyObjective / queueRetries
-	if e.attemptsExhausted(r) || now+delay+e.expectedLatency(r.Units) >= r.deadline {
-		e.finish(r)
-		return
+	switch {
+	case e.attemptsExhausted(r):
+		e.finish(r, RefusedAttemptsUsed)
+	case now+delay+e.expectedLatency(r.Units) >= r.deadline:
+		e.finish(r, RefusedNoTimeForRetry)
+	default:
+		e.reasons.note(RetriedAfterLocal)
+		e.hold(r, delay)
 	}
-	e.hold(r, delay)
 }
 
 // retryOrFinish retries where rules, time and the retry budget allow it.
 func (e *Engine) retryOrFinish(now time.Duration, r *request) {
-	if r.deadline-now <= e.expectedLatency(r.Units) || e.retryTokens < 1 || e.attemptsExhausted(r) {
-		e.finish(r)
-		return
+	switch {
+	case r.deadline-now <= e.expectedLatency(r.Units):
+		e.finish(r, RefusedNoTimeForRetry)
+	case e.retryTokens < 1:
+		e.finish(r, RefusedNoRetryBudget)
+	case e.attemptsExhausted(r):
+		e.finish(r, RefusedAttemptsUsed)
+	default:
+		e.reasons.note(RetriedAfterFailure)
+		e.retryTokens--
+		e.dispatch(now, r)
 	}
-	e.retryTokens--
-	e.dispatch(now, r)
 }
 
 func (e *Engine) attemptsExhausted(r *request) bool {
@@ -96,8 +106,9 @@
 	due := seconds(silenceFactor * e.latencyPerUnit * r.Units)
 	if age >= due && e.mayMove(now, r) {
 		if r.inFlight.lastResponse <= r.sentAt {
-			e.recordFailure(now, r.inFlight) // it has answered nothing else either
+			e.recordFailure(now, r.inFlight, EjectedAfterSilence) // it has answered nothing else either
 		}
+		e.reasons.note(RetriedAfterSilence)
 		e.actions.CancelAttempt(r.ID, r.attempt)
 		return
 	}
