--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -31,7 +31,8 @@
 	case StatusRejected:
 		ep.lastResponse, ep.measuredAt = now, now
 		ep.latencyPerUnit = max(ep.latencyPerUnit, e.latencyPerUnit) * rejectionPenalty
-		e.recordFailure(now, ep, EjectedAfterFailure) // it may be draining, seconds before the endpoint list says so
+		// It may be draining, seconds before the endpoint list says so.
+		e.recordFailure(now, ep, EjectedAfterFailure)
 	case StatusLocalFailure:
 		// Nothing is held against it but in comparison: if it alone cannot be reached from here, others are
 		// preferred.
