--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -86,6 +86,14 @@
 	return len(l.conns) - l.closing - l.limit
 }
 
+// openBeyondLimit returns by how many connections the limit is exceeded, with those that are closing, and how many
+// these are.
+func (l *connectionLimiter) openBeyondLimit() (beyond, closing int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) - l.limit, l.closing
+}
+
 // active returns the number of connections on which a request has begun and is not answered yet.
 func (l *connectionLimiter) active() int {
 	l.mu.Lock()
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -15,6 +15,9 @@
 	// evictionPollInterval is how often a connection beyond the reserve looks for one that can be evicted.
 	evictionPollInterval = 10 * time.Millisecond
 
+	// closePollInterval is how often it looks whether one that is closing has gone.
+	closePollInterval = time.Millisecond
+
 	// backlogTimeout is how long a listener that stops waits for a connection: any that the machine has accepted is
 	// returned at once.
 	backlogTimeout = 5 * time.Millisecond
@@ -76,12 +79,29 @@
 		return nil, err
 	}
 	c := l.limiter.add(conn.(*net.TCPConn))
-	for l.limiter.excess() > 0 && !l.limiter.evict(time.Now()) && l.limiter.excess() > l.limiter.reserve {
-		time.Sleep(evictionPollInterval)
-	}
+	l.makeRoom()
 	return c, nil
 }
 
+// makeRoom has a connection evicted for each beyond the limit, and waits while there are more than the reserve allows.
+// Those that are closing count: their descriptors are not free yet.
+func (l *limitedListener) makeRoom() {
+	for {
+		if l.limiter.excess() > 0 {
+			l.limiter.evict(time.Now())
+		}
+		open, closing := l.limiter.openBeyondLimit()
+		if open <= l.limiter.reserve {
+			return
+		}
+		if closing > 0 {
+			time.Sleep(closePollInterval)
+		} else {
+			time.Sleep(evictionPollInterval)
+		}
+	}
+}
+
 // acceptNext accepts a connection. While the listener stops it fails once none is waiting any more.
 func (l *limitedListener) acceptNext() (net.Conn, error) {
 	for {
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -54,3 +54,33 @@
 		t.Errorf("after the last connection: %v", err)
 	}
 }
+
+// A connection that is being evicted holds its descriptor until its own goroutine has closed it: no further one is
+// handed over before.
+func TestAcceptWaitsForEvictedConnections(t *testing.T) {
+	listener := newTestListener(t)
+	limiter := listener.limiter
+	limiter.limit, limiter.reserve = 1, 0
+	idle, _ := acceptOne(t, listener)
+	makeIdle(t, idle)
+	idle.since = time.Now().Add(-time.Hour)
+	testkit.Dial(t, listener.Addr().String())
+	type result struct {
+		beyond int
+		err    error
+	}
+	accepted := make(chan result, 1)
+	go func() {
+		_, err := listener.Accept()
+		beyond, _ := limiter.openBeyondLimit()
+		accepted <- result{beyond, err}
+	}()
+	testkit.Eventually(t, "the eviction", func() bool {
+		_, closing := limiter.openBeyondLimit()
+		return closing == 1
+	})
+	wantClosed(t, idle)
+	if got := testkit.Receive(t, "the connection", accepted); got.beyond > 0 || got.err != nil {
+		t.Errorf("handed over with %d connections beyond the limit, %v", got.beyond, got.err)
+	}
+}
