--- a/internal/gateway/accept_test.go
+++ b/internal/gateway/accept_test.go
@@ -45,6 +45,20 @@
 // recover makes calls of accept succeed again.
 func (l *failingListener) recover() { l.errno.Store(0) }
 
+// startWithFailingListener runs a gateway with one endpoint on a listener that does not fail yet.
+func startWithFailingListener(t *testing.T, opts options) (*testGateway, *failingListener) {
+	t.Helper()
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &failingListener{TCPListener: tcp}
+	cfg := testConfig(t, "127.0.0.1:1")
+	cfg.Known = cachedList(okServer(t).Address())
+	testkit.SlowSettings(&cfg.Settings)
+	return runGateway(t, cfg, listener, opts), listener
+}
+
 // Errors of accept pass: the connections that wait are accepted afterwards, and requests that are open are answered,
 // also in a drain in which accept fails to the end. The first six of these once ended the process without a drain.
 func TestErrorsOfAcceptPass(t *testing.T) {
@@ -53,16 +67,7 @@
 		syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ETIMEDOUT, syscall.EPERM, syscall.EINTR,
 	} {
 		t.Run(fmt.Sprint(errno), func(t *testing.T) {
-			server := okServer(t)
-			tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-			if err != nil {
-				t.Fatal(err)
-			}
-			listener := &failingListener{TCPListener: tcp}
-			cfg := testConfig(t, "127.0.0.1:1")
-			cfg.Known = cachedList(server.Address())
-			testkit.SlowSettings(&cfg.Settings)
-			g := runGateway(t, cfg, listener, options{})
+			g, listener := startWithFailingListener(t, options{})
 			open := g.dial()
 			half := slowRequest("pay", "half")
 			open.WriteText(half[:len(half)-1])
@@ -87,16 +92,7 @@
 // An error after which the listener cannot accept any more ends the gateway, but not before the requests that are open
 // are answered.
 func TestLossOfListenerDrains(t *testing.T) {
-	server := okServer(t)
-	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener := &failingListener{TCPListener: tcp}
-	cfg := testConfig(t, "127.0.0.1:1")
-	cfg.Known = cachedList(server.Address())
-	testkit.SlowSettings(&cfg.Settings)
-	g := runGateway(t, cfg, listener, options{drainDelay: time.Millisecond})
+	g, listener := startWithFailingListener(t, options{drainDelay: time.Millisecond})
 	open := g.dial()
 	half := slowRequest("pay", "half")
 	open.WriteText(half[:len(half)-1])
