--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -46,7 +46,7 @@
 	cases := map[string]testCase{
 		"interim":      &interim{trouble: trouble, made: map[string]string{}},
 		"half-request": &halfRequest{trouble: trouble},
-		"memory":       &memory{trouble: trouble},
+		"no-length":    &noLength{trouble: trouble, made: map[string]string{}},
 	}
 	c, ok := cases[os.Args[1]]
 	if !ok {
