Skip a 101 ahead of an answer, and reuse connections only after explicit ends

Cause: upstream.connection.readHead took a 101 for the final response. It ends with its head, so the attempt ended as a server error and the connection was pooled although the answer was still to come. The next request on it got that answer. Late duplicates are ruled out: the endpoints of the case send none.

Change: a 101 is skipped like every other interim response, since the gateway never asks for another protocol. For the same cause, a connection is closed after a 204, a 304 or an invalid status, none of which has an explicit end.

TestAnswerAfter101GoesToItsRequest, five rows of TestResponseMapsToStatus and six inputs of FuzzReadResponse failed before the fix. The oracle of FuzzReadResponse took a 101 for final, as the code did; it now takes each 1xx for interim, and also checks that a kept connection had an explicit end.

--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -42,6 +42,10 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: p\r\n", MaxHeaderBytes) + "Content-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: p\r\n", 2000) + "Content-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\n" + responseText("200 OK", "")))
+	f.Add([]byte("HTTP/1.1 101 Switching Protocols\r\n\r\n" + responseText("200 OK", "")))
+	f.Add([]byte("HTTP/1.1 101 Switching Protocols\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, input []byte) {
 		result, keepAlive, consumed, bytesRead, err := readResponseFrom(input)
 		if bytesRead > MaxHeaderBytes+MaxBodyBytes+maxChunkOverhead {
@@ -57,6 +61,9 @@
 		if keepAlive && bytesRead > len(consumed) {
 			t.Errorf("a connection with %d unread bytes is kept", bytesRead-len(consumed))
 		}
+		if final, _ := finalResponse(t, consumed); keepAlive && !endsByItsFraming(final) {
+			t.Errorf("a connection is kept after a response without an explicit end: %q", consumed)
+		}
 		for _, length := range []int{len(consumed) - 1, len(consumed) / 2, 0} {
 			if part, _, _, _, err := readResponseFrom(consumed[:length]); err == nil {
 				t.Errorf("the first %d of %d bytes give the response %+v", length, len(consumed), part)
@@ -101,12 +108,18 @@
 		if err != nil {
 			t.Fatalf("net/http rejects the accepted response %q: %v", text, err)
 		}
-		if response.StatusCode >= 200 || response.StatusCode < 100 || response.StatusCode == 101 {
+		if response.StatusCode >= 200 || response.StatusCode < 100 {
 			return response, len(text) - source.Len() - reader.Buffered()
 		}
 	}
 }
 
+// endsByItsFraming reports whether a response has a valid status with which the length or the chunks mark its end.
+func endsByItsFraming(response *http.Response) bool {
+	code := response.StatusCode
+	return code >= 200 && code < 600 && code != 204 && code != 304
+}
+
 // expectedStatus implements the protocol's mapping of responses to statuses.
 func expectedStatus(response *http.Response) policy.Status {
 	declined := response.Header.Get("Srv-Declined") == "1"
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -21,6 +21,7 @@
 	usageHeader     = "Usage-Percent"
 	rejectionHeader = "Srv-Declined"
 
+	maxStatusCode   = 599 // highest valid status code
 	percent         = 100
 	maxUsagePercent = 1e6
 )
@@ -47,17 +48,27 @@
 	result.Status = responseStatus(response)
 	result.Usage, result.HasUsage = parseUsage(response.Header[usageHeader])
 	result.Response = Response{ContentType: response.Header["Content-Type"], Body: body}
-	return result, !response.Close && c.reader.Buffered() == 0, nil
+	return result, c.canReuseAfter(response), nil
 }
 
-// readHead reads the head of the final response and skips interim ones. Status 101 counts as final.
+// canReuseAfter reports whether a further request may be sent on the connection after a complete response. A response
+// that ends with its head because of its status does not count: what belongs to it may still be on its way.
+func (c *connection) canReuseAfter(response *http.Response) bool {
+	code := response.StatusCode
+	endsWithHead := code == http.StatusNoContent || code == http.StatusNotModified
+	isValid := code >= http.StatusOK && code <= maxStatusCode
+	return isValid && !endsWithHead && !response.Close && c.reader.Buffered() == 0
+}
+
+// readHead reads the head of the final response and skips interim ones. Status 101 counts as interim: the gateway never
+// asks for another protocol, so the final response follows on the same connection.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
-		isInterim := response.StatusCode/100 == 1 && response.StatusCode != http.StatusSwitchingProtocols
+		isInterim := response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK
 		if !isInterim {
 			return response, nil
 		}
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -23,6 +26,7 @@
 	reply := testkit.Reply
 	const ok = testkit.ResponseOK
 	const hint = "HTTP/1.1 103 Early Hints\r\n\r\n"
+	const switching = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
 	for _, c := range []struct {
 		name   string
 		script testkit.Script
@@ -34,6 +38,13 @@
 			policy.StatusOK, false},
 		{"served in chunks", reply(chunkedHead+"2\r\nok\r\n0\r\n\r\n", true), policy.StatusOK, true},
 		{"served after an interim response", reply(hint+ok, true), policy.StatusOK, true},
+		{"served after a 101", reply(switching+ok, true), policy.StatusOK, true},
+		{"served after an unknown interim response", reply("HTTP/1.1 199 X\r\n\r\n"+ok, true), policy.StatusOK, true},
+		{"101 only", reply(switching, false), policy.StatusReset, false},
+		{"204", reply(responseText("204 X", ""), true), policy.StatusServerError, false},
+		{"304", reply("HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n", true), policy.StatusServerError, false},
+		{"status below 100", reply(responseText("099 X", ""), true), policy.StatusServerError, false},
+		{"status above 599", reply(responseText("600 X", ""), true), policy.StatusServerError, false},
 		{"served with excess bytes", reply(ok+"?", true), policy.StatusOK, false},
 		{"error", reply(responseText("500 X", ""), true), policy.StatusServerError, true},
 		{"503 without a rejection", reply(responseText("503 X", ""), true), policy.StatusServerError, true},
@@ -82,6 +93,35 @@
 	}
 }
 
+// An answer that comes some time after a 101 must go to its own request. If the 101 were taken for the answer, the next
+// request on the connection would get the answer to this one.
+func TestAnswerAfter101GoesToItsRequest(t *testing.T) {
+	interimSent, release := make(chan struct{}, 1), make(chan struct{})
+	server := testkit.NewServer(t, func(conn net.Conn, request *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n") // an error shows in the answer
+		interimSent <- struct{}{}
+		<-release
+		id := request.Header.Get("Req-Id")
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		return err == nil
+	})
+	endpoint := newTestEndpoint(t, server.Address())
+	for _, id := range []string{"first", "second"} {
+		request := newTestRequest()
+		request.Header.Set("Req-Id", id)
+		results := startAttempt(newTestAttempt(endpoint), request)
+		testkit.WaitFor(t, "the interim response", interimSent)
+		release <- struct{}{}
+		result := testkit.Receive(t, "the result", results)
+		if result.Status != policy.StatusOK || string(result.Response.Body) != id {
+			t.Errorf("the request %s got %+v with body %q", id, result, result.Response.Body)
+		}
+	}
+	if got := server.Connections.Load(); got != 1 {
+		t.Errorf("got %d connections, want 1: an interim response does not end a connection", got)
+	}
+}
+
 // Each limit and each ambiguity of a response must be detected by its own check, and the connection must not be reused.
 func TestUnusableResponseReturnsItsReason(t *testing.T) {
 	for _, c := range []struct {
