Bound the wait of new connections, and evict requests whose bodies stall

Cause: a connection was active from the end of its head on, so it could not be evicted before its body timed out after 2.7 s, and limitedListener.makeRoom held the accept loop without a bound.

Change: a connection that waits for a body has a state of its own and may be evicted after 0.2 s without a byte if connections are short; its goroutine answers 503 first. The accept loop waits for 0.3 s at most, then accepts one connection at a time beyond the reserve, whose request is rejected at once. Both stay under the 0.5 s that the protocol allows an answer to be late. For the same cause, a new connection that waits for room is not chosen for eviction itself, the time in the accept queue counts towards the deadline and the body's time limit, a forced drain closes incomplete bodies, and a stopping listener empties its queue after such a wait.

handler.go is split: responses and the set of open requests have files of their own.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -16,6 +16,7 @@
 const (
 	ConnectionAccepted Event = iota
 	AcceptFailed
+	AcceptDelayed      // the connections of clients were at their limit, and a new one had to wait for room
 	CloseEvicted       // a client connection was closed to make room for another
 	CloseDrained       // a client connection was closed because the gateway shuts down
 	CloseByTimeout     // a client connection was idle too long, or a request on it did not complete in time
@@ -39,13 +40,15 @@
 	RequestFailed
 	RequestAbandoned // the client disconnected before the response
 	RequestInvalid
+	RequestEvicted     // an incomplete request was rejected to make room for another connection
+	RequestWithoutRoom // a request was rejected because there was no room for its connection
 	ListPublished
 	WatchEnded
 	eventCount
 )
 
 var eventNames = [eventCount]string{
-	ConnectionAccepted: "connection_accepted", AcceptFailed: "accept_failed",
+	ConnectionAccepted: "connection_accepted", AcceptFailed: "accept_failed", AcceptDelayed: "accept_delayed",
 	CloseEvicted: "close_evicted", CloseDrained: "close_drained", CloseByTimeout: "close_by_timeout",
 	CloseClientGone: "close_client_gone", CloseLast: "close_last",
 	AttemptOK: "attempt_ok", AttemptServerError: "attempt_server_error", AttemptRejected: "attempt_rejected",
@@ -56,6 +59,7 @@
 	SendRefusedDeadline: "send_refused_deadline", SendRefusedClient: "send_refused_client",
 	RequestServed: "request_served", RequestRejected: "request_rejected", RequestFailed: "request_failed",
 	RequestAbandoned: "request_abandoned", RequestInvalid: "request_invalid",
+	RequestEvicted: "request_evicted", RequestWithoutRoom: "request_without_room",
 	ListPublished: "list_published", WatchEnded: "watch_ended",
 }
 
--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -14,7 +14,8 @@
 	bodyTimeoutFromHead   = time.Second             // from reading the request head
 )
 
-// readBody reads the body of a request whose Content-Length has been validated. Its errors are of type *RequestError.
+// readBody reads the body of a request whose Content-Length has been validated. Its error is errRequestEvicted or a
+// *RequestError.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -25,7 +26,10 @@
 	}
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, errRequestEvicted):
+			return nil, errRequestEvicted
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, &RequestError{http.StatusRequestTimeout, "the body did not arrive in time"}
 		}
 		return nil, badRequest("the body is incomplete: " + err.Error())
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -23,15 +23,21 @@
 	readAheadChunk = 512 // bytes
 )
 
+// errRequestEvicted is the error of reading a body that has stalled while connections are short.
+var errRequestEvicted = errors.New("the request was evicted before it was complete")
+
 // connectionState is the state of a client connection, according to the bytes that have been read from it.
 type connectionState uint8
 
 const (
-	stateNew         connectionState = iota // nothing has been read yet
+	stateAccepted    connectionState = iota // waits for room; no goroutine serves it yet
+	stateNew                                // nothing has been read yet
 	stateReadingHead                        // a part of the first request head has been read
-	stateActive                             // a head is complete, or a part of a further request has been read
+	stateReadingBody                        // a head is complete, its body is not
+	stateActive                             // a request is complete, or a part of a further head has been read
 	stateIdle                               // waits for a further request
 	stateClosing                            // its own goroutine closes it unless bytes arrive before that
+	stateRejecting                          // its request is rejected to make room, and then it closes
 	stateClosed                             // closed, or about to be closed, and not counted any more
 )
 
@@ -42,14 +48,18 @@
 // of a client that has sent anything after its request. clientConn therefore goes on reading and stores what it reads.
 type clientConn struct {
 	*net.TCPConn
-	limiter    *connectionLimiter
-	acceptedAt time.Time
+	limiter *connectionLimiter
+
+	// The accept loop sets the following fields before it passes the connection on.
+	acceptedAt    time.Time // earlier than the accept by the time that the client's first bytes had to wait for it
+	beyondReserve bool      // there was no room for the connection
+	delayed       bool      // the connection may have waited in the accept queue
 
 	// connectionLimiter.mu guards the following fields.
 	state            connectionState
 	stateBeforeClose connectionState // state before stateClosing
 	closeReason      counters.Event  // event that is counted when a connection in stateClosing is closed
-	stateSince       time.Time       // time of accept, of becoming idle, or of the last detection of unread bytes
+	stateSince       time.Time       // time of accept, of becoming idle, of the last byte of a body, or of unread bytes
 	readDeadline     time.Time       // last deadline that was set; not applied in stateClosing
 
 	// The goroutine that serves the connection owns the following fields. While a request is open, the background
@@ -78,7 +88,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	requestBegan, ok := c.limiter.recordRead(c, c.headRead)
+	requestBegan, ok := c.limiter.recordRead(c, c.boundary.phase)
 	if !ok {
 		return 0, net.ErrClosed
 	}
@@ -118,12 +128,13 @@
 func (c *clientConn) readSocket(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	for n <= 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		closed, interrupted := c.limiter.finishClose(c)
-		switch {
-		case closed:
-			return 0, net.ErrClosed
-		case !interrupted:
+		switch c.limiter.finishClose(c) {
+		case interruptedByDeadline:
 			return 0, err
+		case interruptionClosed:
+			return 0, net.ErrClosed
+		case interruptionRejectsBody:
+			return 0, errRequestEvicted
 		}
 		n, err = c.TCPConn.Read(p)
 	}
@@ -214,11 +225,12 @@
 // markAbandoned records that the client has disconnected and gets no response.
 func (c *clientConn) markAbandoned() { c.unansweredID, c.closeEvent = "", counters.CloseClientGone }
 
-// beginRequest is called when the head of a request is complete. bodyLength is negative if it is unknown. From then on
-// the limiter keeps the connection open until the response. It returns false if the connection is closed already.
+// beginRequest is called when the head of a request is complete. bodyLength is negative if it is unknown. Once the body
+// is complete as well, the limiter keeps the connection open until the response. It returns false if the connection is
+// closed already.
 func (c *clientConn) beginRequest(bodyLength int64) bool {
 	c.boundary.beginBody(bodyLength)
-	return c.limiter.beginRequest(c)
+	return c.limiter.beginRequest(c, c.boundary.phase == phaseBody)
 }
 
 // beginIdle is called when a request has been answered and the connection stays open for a further one.
@@ -258,6 +270,15 @@
 	return err == nil && n > 0
 }
 
+// minHeadAge returns for how long the head of the first request may be incomplete before the connection is evicted. A
+// connection for which there is no room keeps others waiting and gets less time.
+func (c *clientConn) minHeadAge() time.Duration {
+	if c.beyondReserve {
+		return minNewAge
+	}
+	return minHeadAge
+}
+
 // peek checks the receive buffer for bytes without removing them. It returns 1 if there are any. 0 without an error
 // means that the client has closed the connection.
 func (c *clientConn) peek() (n int, err error) {
--- /dev/null
+++ b/internal/frontend/eviction_test.go
@@ -0,0 +1,173 @@
+package frontend
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"springfield/internal/clock"
+	"springfield/internal/eventloop"
+	"springfield/internal/testkit"
+)
+
+// stalledBody is the incomplete body of requests in these tests, and stalledBodyLength the length that they declare.
+const (
+	stalledBody       = "half"
+	stalledBodyLength = 9
+)
+
+// makeBodyStall makes a connection read the head of a request and a part of its body.
+func makeBodyStall(t *testing.T, conn *clientConn, client *testkit.Client) {
+	t.Helper()
+	const head = "POST / HTTP/1.1\r\n\r\n"
+	client.WriteText(head + stalledBody)
+	for read := 0; read < len(head); {
+		read += readSome(t, conn)
+	}
+	if !conn.beginRequest(stalledBodyLength) {
+		t.Fatal("the connection is closed")
+	}
+	for read := 0; read < len(stalledBody); {
+		read += readSome(t, conn)
+	}
+}
+
+// Requests whose bodies have stalled must not hold up new connections until the bodies time out. Requests of other
+// clients wait in the accept queue meanwhile, and get no answer within their time.
+func TestStalledBodyMakesRoomForNewConnection(t *testing.T) {
+	listener := newTestListener(t)
+	listener.limiter.limit = 1
+	stalled, client := acceptOne(t, listener)
+	makeBodyStall(t, stalled, client)
+	testkit.Dial(t, listener.Addr().String())
+	accepted := make(chan error, 1)
+	go func() {
+		_, err := listener.Accept()
+		accepted <- err
+	}()
+	evicted := make(chan error, 1)
+	go func() {
+		_, err := stalled.Read(make([]byte, bufferSize))
+		evicted <- errors.Join(err, stalled.Close())
+	}()
+	if err := testkit.Receive(t, "the end of the read", evicted); !errors.Is(err, errRequestEvicted) {
+		t.Errorf("the read of the stalled body ended with %v, want errRequestEvicted", err)
+	}
+	if err := testkit.Receive(t, "the new connection", accepted); err != nil {
+		t.Errorf("the new connection: %v", err)
+	}
+}
+
+// A body of which bytes have arrived must not be evicted, even if nobody has read them yet. Of two stalled bodies, the
+// one that has waited for longer must be evicted.
+func TestBodyWithProgressIsNotEvicted(t *testing.T) {
+	listener := newTestListener(t)
+	limiter := listener.limiter
+	first, firstClient := acceptOne(t, listener)
+	makeBodyStall(t, first, firstClient)
+	second, secondClient := acceptOne(t, listener)
+	makeBodyStall(t, second, secondClient)
+	if limiter.evictStalledBody(first.stateSince) {
+		t.Error("evicted a body that has just made progress")
+	}
+	firstClient.WriteText("x")
+	testkit.Eventually(t, "the byte", first.hasUnread)
+	if !limiter.evictStalledBody(time.Now().Add(time.Hour)) || second.state != stateClosing {
+		t.Errorf("the first body is in state %d, the second in state %d", first.state, second.state)
+	}
+	if readSome(t, first) != 1 || first.state != stateReadingBody {
+		t.Errorf("the first body is in state %d", first.state)
+	}
+}
+
+// Bytes that arrive after a body was chosen for eviction must cancel the eviction, because they may complete a request
+// that then has been accepted.
+func TestBytesOfBodyCancelEviction(t *testing.T) {
+	listener := newTestListener(t)
+	conn, client := acceptOne(t, listener)
+	makeBodyStall(t, conn, client)
+	if !listener.limiter.evictStalledBody(time.Now().Add(time.Hour)) {
+		t.Fatal("the stalled body was not evicted")
+	}
+	const rest = stalledBodyLength - len(stalledBody)
+	client.WriteText("12345"[:rest])
+	testkit.Eventually(t, "the bytes", conn.hasUnread)
+	if n := readSome(t, conn); n != rest || conn.state != stateActive {
+		t.Errorf("read %d bytes, the connection is in state %d", n, conn.state)
+	}
+	wantOpen(t, listener.limiter, 1)
+}
+
+// noEngine is an Engine that no request reaches.
+type noEngine struct {
+	Engine
+	t *testing.T
+}
+
+// Submit implements Engine.
+func (e noEngine) Submit(*eventloop.Call) { e.t.Error("an incomplete request was submitted") }
+
+// A request that is evicted because its body has stalled must get an answer, with the statement that a retry is safe,
+// and then the end of its connection. The connection must not be kept open by a client that stays.
+func TestEvictedRequestIsRejected(t *testing.T) {
+	settings := testkit.Settings(t)
+	server := NewServer(Options{
+		Clock: clock.New(), Engine: noEngine{t: t}, Settings: &settings, MaxConnections: testLimit,
+		LongestDeadline: testkit.Timeout,
+	})
+	listener := newTestListener(t)
+	go func() { _ = server.Serve(listener.listener) }() // returns when the server is closed
+	t.Cleanup(func() { _ = server.Close() })            // the test is over
+	client := testkit.Dial(t, listener.Addr().String())
+	client.WriteText(testkit.RequestHead(http.MethodPost, "pay", "stalled", "100"))
+	testkit.Eventually(t, "the eviction", func() bool {
+		return server.limiter.evictStalledBody(time.Now().Add(time.Hour))
+	})
+	response := client.ReadResponse()
+	if response.Status != http.StatusServiceUnavailable || !response.Close || response.Header.Get("Retry-After") == "" {
+		t.Errorf("got %+v, want a rejection with Retry-After that closes the connection", response)
+	}
+	if _, err := client.Reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection ended with %v", err)
+	}
+	testkit.Eventually(t, "the closed connection", func() bool {
+		excess, closing := server.limiter.excessWithClosing()
+		return excess+server.limiter.limit == 0 && closing == 0
+	})
+}
+
+// A new connection must not wait without a bound for room that active requests do not leave. It must be marked, so that
+// its request is rejected, and only one such connection may be open at a time.
+func TestConnectionWithoutRoomIsAcceptedAndMarked(t *testing.T) {
+	listener := newTestListener(t)
+	listener.limiter.limit, listener.maxFullTime = 1, 0
+	active, _ := acceptOne(t, listener)
+	if !active.beginRequest(0) {
+		t.Fatal("the connection is closed")
+	}
+	extra, _ := acceptOne(t, listener)
+	if !extra.beyondReserve || !listener.limiter.isFull(extra) || listener.limiter.isFull(active) {
+		t.Error("the connection without room, and only that one, must be marked")
+	}
+	testkit.Dial(t, listener.Addr().String())
+	type result struct {
+		conn   *clientConn
+		excess int
+	}
+	accepted := make(chan result, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Errorf("the next connection: %v", err)
+			return
+		}
+		excess, _ := listener.limiter.excessWithClosing()
+		accepted <- result{conn.(*clientConn), excess}
+	}()
+	extra.limiter.remove(extra)
+	if got := testkit.Receive(t, "the next connection", accepted); !got.conn.beyondReserve || got.excess != 1 {
+		t.Errorf("marked %v, with %d connections beyond the limit, want true and 1", got.conn.beyondReserve, got.excess)
+	}
+}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,18 +15,8 @@
 	"springfield/policy"
 )
 
-// errorReadTimeout limits how long the rest of an invalid request's body is read. If the body were not read, the client
-// would get a connection reset before it has read the error response.
-const errorReadTimeout = 300 * time.Millisecond
-
 const healthPath = "/health/ready"
 
-// Header values that responses share. They must not be modified.
-var (
-	connectionClose = []string{"close"}
-	zeroLength      = []string{"0"}
-)
-
 // Engine decides how requests are handled. eventloop.Loop implements it.
 type Engine interface {
 	Submit(call *eventloop.Call)
@@ -46,6 +34,8 @@
 	open     openRequests
 	ready    atomic.Bool
 	draining atomic.Bool
+
+	roomRetryAfter time.Duration // Retry-After of requests that are rejected for want of connections; 0 means none
 }
 
 func newHandler(options Options, limiter *connectionLimiter) *handler {
@@ -55,14 +45,16 @@
 		parser:  newRequestParser(options.Settings),
 		limiter: limiter,
 		open:    openRequests{ids: map[string]struct{}{}},
+
+		roomRetryAfter: roomRetryAfter(options.Settings),
 	}
 }
 
 // ServeHTTP serves one request. If no response may be sent, it panics with http.ErrAbortHandler, which closes the
 // connection.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	receivedAt := h.clock.Now()
 	conn := connectionOf(r)
+	receivedAt := h.clock.Now() - conn.queueDelay()
 	if conn != nil && !conn.beginRequest(bodyLength(r)) {
 		invariant.RecordViolation(invariant.Starting, r.Header.Get("Req-Id"), "the request starts on a closed connection")
 		panic(http.ErrAbortHandler)
@@ -75,27 +67,43 @@
 		h.respondHealth(w, r)
 		return
 	}
-	parsed, err := h.parser.parse(r, receivedAt)
-	if err != nil {
-		h.respondError(w, r, err)
-		return
-	}
-	body, err := readBody(w, r)
-	if err != nil {
+	parsed, body, err := h.readRequest(w, r, receivedAt)
+	switch {
+	case errors.Is(err, errRequestEvicted):
+		h.respondEvicted(w, r)
+	case err != nil:
 		h.respondError(w, r, err)
-		return
-	}
-	if conn != nil && conn.closedByClient() {
+	case conn != nil && conn.closedByClient(): // before its request was read
 		conn.markAbandoned()
 		counters.Count(counters.RequestAbandoned, parsed.id)
-		panic(http.ErrAbortHandler) // the client disconnected before its request was read
+		panic(http.ErrAbortHandler)
+	case h.limiter.isFull(conn):
+		counters.Count(counters.RequestWithoutRoom, parsed.id)
+		h.respondRejected(w, r, h.roomRetryAfter)
+	default:
+		h.serveRequest(w, r, parsed, body)
+	}
+}
+
+// readRequest parses the head of a request and reads its body. Its error is errRequestEvicted or a *RequestError.
+func (h *handler) readRequest(w http.ResponseWriter, r *http.Request, receivedAt time.Duration) (parsedRequest, []byte,
+	error) {
+	parsed, err := h.parser.parse(r, receivedAt)
+	if err != nil {
+		return parsedRequest{}, nil, err
 	}
+	body, err := readBody(w, r)
+	return parsed, body, err
+}
+
+// serveRequest submits a complete request and serves it.
+func (h *handler) serveRequest(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body []byte) {
 	if !h.open.add(parsed.id) {
 		h.respondError(w, r, &RequestError{http.StatusConflict, "a request with the same id is open"})
 		return
 	}
 	defer h.open.remove(parsed.id)
-	if conn != nil {
+	if conn := connectionOf(r); conn != nil {
 		conn.markUnanswered(parsed.id)
 	}
 	call := eventloop.NewCall(parsed.id, parsed.request, parsed.deadline)
@@ -151,90 +159,3 @@
 		}
 	}
 }
-
-// respondHealth responds to a health check.
-func (h *handler) respondHealth(w http.ResponseWriter, r *http.Request) {
-	status := http.StatusOK
-	if !h.ready.Load() || h.draining.Load() {
-		status = http.StatusServiceUnavailable
-	}
-	h.respond(w, r, status, upstream.Response{})
-}
-
-// respondRejected responds to a rejected request, with a Retry-After header unless retryAfter is 0.
-func (h *handler) respondRejected(w http.ResponseWriter, r *http.Request, retryAfter time.Duration) {
-	if retryAfter > 0 {
-		w.Header()["Retry-After"] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}
-	}
-	h.respond(w, r, http.StatusServiceUnavailable, upstream.Response{})
-}
-
-// respondError responds to an invalid request and closes its connection, because the start of the next request is
-// uncertain.
-func (h *handler) respondError(w http.ResponseWriter, r *http.Request, err error) {
-	counters.Count(counters.RequestInvalid, r.Header.Get("Req-Id"))
-	status := http.StatusInternalServerError
-	if requestError, ok := errors.AsType[*RequestError](err); ok {
-		status = requestError.Status
-	}
-	w.Header()["Connection"] = connectionClose
-	if r.ContentLength != 0 {
-		// SetReadDeadline fails only if the connection is broken, in which case the response is lost as well.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(errorReadTimeout))
-	}
-	h.respond(w, r, status, upstream.Response{})
-}
-
-// respond writes a complete response. During a drain the response closes its connection, also if the request arrived
-// before the drain, because a further request might not be served. The same holds while the limit on connections is
-// exceeded. If the client has already sent a further request or a part of one, the connection stays open, because that
-// request counts as accepted and must be answered.
-func (h *handler) respond(w http.ResponseWriter, r *http.Request, status int, response upstream.Response) {
-	header := w.Header()
-	conn := connectionOf(r)
-	if conn != nil {
-		conn.markAnswered()
-	}
-	if (h.draining.Load() || h.limiter.excess() > 0) && (conn == nil || !conn.hasUnread()) {
-		header["Connection"] = connectionClose
-	}
-	header["Date"] = nil // nil keeps net/http from adding it, which saves CPU time
-	header["Content-Type"] = response.ContentType
-	header["Content-Length"] = zeroLength
-	if len(response.Body) > 0 {
-		header["Content-Length"] = []string{strconv.Itoa(len(response.Body))}
-	}
-	w.WriteHeader(status)
-	_, _ = w.Write(response.Body) // net/http closes the connection on an error
-}
-
-// openRequests is the set of ids of the requests that are not answered yet. It serves to reject a second request with
-// the id of an open one, which an endpoint would take for a copy of that request.
-type openRequests struct {
-	mu  sync.Mutex
-	ids map[string]struct{}
-}
-
-// add inserts the id of a request. It returns false if a request with this id is open already.
-func (o *openRequests) add(id string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if _, ok := o.ids[id]; ok {
-		return false
-	}
-	o.ids[id] = struct{}{}
-	return true
-}
-
-func (o *openRequests) remove(id string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.ids, id)
-}
-
-func (o *openRequests) contains(id string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	_, ok := o.ids[id]
-	return ok
-}
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -9,16 +9,9 @@
 	"springfield/internal/counters"
 )
 
-const (
-	// reserveDivisor sets the share of the connections, one in reserveDivisor, that is reserved for new connections.
-	// They are accepted from the reserve while evicted connections are still being closed.
-	reserveDivisor = 9
-
-	// A connection is evicted only after it has been in its state for a minimum time.
-	minNewAge  = 100 * time.Millisecond // in stateNew
-	minHeadAge = time.Second            // in stateReadingHead
-	minIdleAge = 2 * time.Second        // in stateIdle
-)
+// reserveDivisor sets the share of the connections, one in reserveDivisor, that is reserved for new connections. They
+// are accepted from the reserve while evicted connections are still being closed.
+const reserveDivisor = 9
 
 // connectionLimiter keeps the connections of clients within their share of the file descriptors. When the limit is
 // exceeded, it evicts a connection that has not sent a complete request or is idle, so that such connections do not
@@ -28,7 +21,8 @@
 // net/http change too late for this decision, only once the complete head has been read. If a connection were closed
 // while its request runs, the client would lose the response, and its retry would be a second copy of the request. The
 // limiter therefore does not close connections itself. It interrupts the goroutine that reads the connection, and that
-// goroutine closes it unless it has read something or bytes have arrived meanwhile.
+// goroutine closes it unless it has read something or bytes have arrived meanwhile. If it waits for the rest of a body,
+// it rejects the request before it closes the connection.
 type connectionLimiter struct {
 	limit     int
 	reserve   int                    // number of connections beyond limit that may be open for a short time
@@ -36,7 +30,7 @@
 
 	mu      sync.Mutex
 	conns   map[*clientConn]struct{} // all open connections
-	closing int                      // number of connections in stateClosing
+	closing int                      // number of connections in stateClosing and stateRejecting
 }
 
 // newConnectionLimiter returns a limiter for maxConnections connections, including the reserve.
@@ -50,7 +44,8 @@
 	}
 }
 
-// add registers a connection that was just accepted.
+// add registers a connection that was just accepted. It is not evicted before begin, because no goroutine would close
+// it.
 func (l *connectionLimiter) add(conn *net.TCPConn) *clientConn {
 	now := time.Now()
 	c := &clientConn{TCPConn: conn, limiter: l, acceptedAt: now, stateSince: now, closeEvent: counters.CloseByTimeout}
@@ -61,6 +56,13 @@
 	return c
 }
 
+// begin is called when a connection is passed on to the goroutine that serves it.
+func (l *connectionLimiter) begin(c *clientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.state = stateNew
+}
+
 // remove removes a connection that is being closed. It returns false if the connection had been removed before.
 func (l *connectionLimiter) remove(c *clientConn) bool {
 	l.mu.Lock()
@@ -72,36 +74,43 @@
 
 // removeLocked removes a connection that is being closed. The caller holds l.mu.
 func (l *connectionLimiter) removeLocked(c *clientConn) {
-	if c.state == stateClosing {
+	if c.state == stateClosing || c.state == stateRejecting {
 		l.closing--
 	}
 	c.state = stateClosed
 	delete(l.conns, c)
 }
 
-// excess returns the number of connections beyond the limit, not counting those in stateClosing. It is negative below
-// the limit.
+// excess returns the number of connections beyond the limit, not counting those that are being closed. It is negative
+// below the limit.
 func (l *connectionLimiter) excess() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.conns) - l.closing - l.limit
 }
 
-// excessWithClosing returns the number of connections beyond the limit, counting those in stateClosing, and the number
-// of the latter.
+// excessWithClosing returns the number of connections beyond the limit, counting those that are being closed, and the
+// number of the latter.
 func (l *connectionLimiter) excessWithClosing() (excess, closing int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.conns) - l.limit, l.closing
 }
 
+// isFull reports whether a connection was accepted although there was no room for it, and there still is none. conn may
+// be nil.
+func (l *connectionLimiter) isFull(conn *clientConn) bool {
+	return conn != nil && conn.beyondReserve && l.excess() > l.reserve
+}
+
 // active returns the number of connections on which a request has begun and has not been answered yet.
 func (l *connectionLimiter) active() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count := 0
 	for c := range l.conns {
-		if c.state == stateReadingHead || c.state == stateActive {
+		switch c.state {
+		case stateReadingHead, stateReadingBody, stateActive:
 			count++
 		}
 	}
@@ -119,25 +128,29 @@
 	return sum
 }
 
-// recordRead records that bytes of a request have been read, and whether its head is complete. A connection in
-// stateClosing stays open. requestBegan is true if the bytes are the first of a further request. ok is false if the
-// connection is closed already.
-func (l *connectionLimiter) recordRead(c *clientConn, headComplete bool) (requestBegan, ok bool) {
+// recordRead records that bytes of a request have been read, and the part of the request that has been reached. A
+// connection in stateClosing stays open. requestBegan is true if the bytes are the first of a further request. ok is
+// false if the connection is closed already.
+func (l *connectionLimiter) recordRead(c *clientConn, phase readPhase) (requestBegan, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cancelClose(c)
-	switch {
-	case c.state == stateClosed:
+	switch c.state {
+	case stateClosed:
 		return false, false
-	case c.state == stateIdle:
-		c.state = stateActive
-		return true, true
-	case headComplete:
+	case stateRejecting:
+		return false, true
+	}
+	requestBegan = c.state == stateIdle
+	switch {
+	case phase == phaseBody:
+		c.state, c.stateSince = stateReadingBody, time.Now()
+	case requestBegan, phase != phaseHead:
 		c.state = stateActive
 	case c.state == stateNew:
 		c.state = stateReadingHead
 	}
-	return false, true
+	return requestBegan, true
 }
 
 // beginClose marks a connection as closing and interrupts its reader, which closes it. The caller holds l.mu.
@@ -157,23 +170,37 @@
 	_ = c.TCPConn.SetReadDeadline(c.readDeadline) // fails only on a closed connection
 }
 
-// finishClose is called by the goroutine of a connection when a deadline has interrupted its read. interrupted reports
-// whether the limiter caused that in order to close the connection. closed reports whether finishClose has closed it,
-// which it does unless bytes have arrived meanwhile.
-func (l *connectionLimiter) finishClose(c *clientConn) (closed, interrupted bool) {
+// interruption says what the goroutine of a connection has to do after a deadline has interrupted its read.
+type interruption uint8
+
+const (
+	interruptedByDeadline   interruption = iota // the deadline was set by net/http; the read has failed
+	interruptionCancelled                       // bytes have arrived, so the connection stays open; read again
+	interruptionClosed                          // the connection has been closed
+	interruptionRejectsBody                     // reject the request whose body is incomplete, then close
+)
+
+// finishClose is called by the goroutine of a connection when a deadline has interrupted its read. If the limiter has
+// caused that in order to close the connection, finishClose closes it unless bytes have arrived meanwhile or a request
+// has to be rejected first.
+func (l *connectionLimiter) finishClose(c *clientConn) interruption {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.state != stateClosing {
-		return false, false
+		return interruptedByDeadline
 	}
 	if l.hasUnread(c) {
 		l.cancelClose(c)
-		return false, true
+		return interruptionCancelled
+	}
+	if c.stateBeforeClose == stateReadingBody {
+		c.state = stateRejecting
+		return interruptionRejectsBody
 	}
 	l.removeLocked(c)
 	_ = c.TCPConn.Close() // frees the descriptor even if it returns an error
 	counters.Count(c.closeReason, "")
-	return true, true
+	return interruptionClosed
 }
 
 // setReadDeadline sets the read deadline of a connection. In stateClosing it only stores the deadline, which
@@ -188,14 +215,19 @@
 	return c.TCPConn.SetReadDeadline(deadline)
 }
 
-// beginRequest marks a connection as active. It returns false if the connection is closed already.
-func (l *connectionLimiter) beginRequest(c *clientConn) bool {
+// beginRequest marks a connection as active, or as reading a body if its request has one. It returns false if the
+// connection is closed already.
+func (l *connectionLimiter) beginRequest(c *clientConn, hasBody bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.state == stateClosed {
+	switch {
+	case c.state == stateClosed:
 		return false
+	case hasBody:
+		c.state, c.stateSince = stateReadingBody, time.Now()
+	default:
+		c.state = stateActive
 	}
-	c.state = stateActive
 	return true
 }
 
@@ -214,68 +246,3 @@
 		c.state, c.stateSince = stateIdle, time.Now()
 	}
 }
-
-// evict begins to close one connection: the oldest one that has not sent a complete head yet, or else the one that has
-// been idle for longest. It returns false if there is no such connection.
-func (l *connectionLimiter) evict(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	incomplete, idle := l.evictionCandidates(now)
-	for _, c := range [...]*clientConn{incomplete, idle} {
-		if c == nil {
-			continue
-		}
-		if l.hasUnread(c) { // the unread bytes may be a request
-			c.stateSince = now
-			continue
-		}
-		l.beginClose(c, counters.CloseEvicted)
-		return true
-	}
-	return false
-}
-
-// evictionCandidates returns the oldest connection without a complete head and the connection that has been idle for
-// longest. Either is nil if there is none. The caller holds l.mu.
-func (l *connectionLimiter) evictionCandidates(now time.Time) (incomplete, idle *clientConn) {
-	for c := range l.conns {
-		age := now.Sub(c.stateSince)
-		switch {
-		case c.state == stateNew && age >= minNewAge, c.state == stateReadingHead && age >= minHeadAge:
-			incomplete = older(incomplete, c)
-		case c.state == stateIdle && age >= minIdleAge:
-			idle = older(idle, c)
-		}
-	}
-	return incomplete, idle
-}
-
-// older returns the connection that has been in its state for longer. a may be nil, b may not.
-func older(a, b *clientConn) *clientConn {
-	if a == nil || b.stateSince.Before(a.stateSince) {
-		return b
-	}
-	return a
-}
-
-// continueDrain begins to close the connections on which no request has begun, and with force also those whose head is
-// not complete, because such a request has not been accepted yet. It reports whether no connection is left.
-func (l *connectionLimiter) continueDrain(now time.Time, force bool) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		var closable bool
-		switch c.state {
-		case stateIdle:
-			closable = true
-		case stateNew:
-			closable = force || now.Sub(c.stateSince) >= minNewAge
-		case stateReadingHead:
-			closable = force
-		}
-		if closable && !l.hasUnread(c) {
-			l.beginClose(c, counters.CloseDrained)
-		}
-	}
-	return len(l.conns) == 0
-}
--- a/internal/frontend/limiter_test.go
+++ b/internal/frontend/limiter_test.go
@@ -18,7 +18,8 @@
 // net/http.
 const bufferSize = 9
 
-// newTestListener returns a listener on the loopback interface with a limit of testLimit connections and no reserve.
+// newTestListener returns a listener on the loopback interface with a limit of testLimit connections and no reserve. It
+// waits for room without a bound that a slow machine could reach.
 func newTestListener(t *testing.T) *limitedListener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -28,7 +29,8 @@
 	t.Cleanup(func() { _ = listener.Close() }) // fails if the test has closed it already
 	limiter := newConnectionLimiter(testLimit)
 	limiter.limit, limiter.reserve = testLimit, 0
-	limited := &limitedListener{limiter: limiter}
+	limited := newLimitedListener(limiter)
+	limited.maxFullTime = time.Hour
 	limited.attach(listener)
 	return limited
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -54,7 +54,7 @@
 		},
 		handler:  handler,
 		limiter:  limiter,
-		listener: &limitedListener{limiter: limiter},
+		listener: newLimitedListener(limiter),
 	}
 }
 
--- a/internal/gateway/accept_test.go
+++ b/internal/gateway/accept_test.go
@@ -90,6 +90,25 @@
 	}
 }
 
+// The time that a request has waited in the accept queue counts towards its deadline. A request whose time has passed
+// there must not be sent to an endpoint.
+func TestTimeInAcceptQueueCountsTowardsDeadline(t *testing.T) {
+	const deadline = 100 * time.Millisecond
+	g, listener := startWithFailingListener(t, options{})
+	listener.fail(t, syscall.EMFILE)
+	client := g.dial()
+	client.WriteText(testkit.RequestHead(http.MethodGet, "lookup", "late", "0.1"))
+	sentAt := time.Now()
+	testkit.Eventually(t, "the end of the request's time", func() bool { return time.Since(sentAt) > 2*deadline })
+	listener.recover()
+	if response := client.ReadResponse(); response.Status != http.StatusServiceUnavailable {
+		t.Errorf("got %+v, want a rejection", response)
+	}
+	if response := g.lookup(testkit.Plan); response.Status != http.StatusOK {
+		t.Errorf("a request in time: got %+v", response)
+	}
+}
+
 // An error after which the listener can never accept again must end the gateway with that error, but only after the
 // open requests are answered.
 func TestPermanentAcceptErrorDrainsGateway(t *testing.T) {
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -72,3 +73,48 @@
 		}
 	}
 }
+
+// Clients that stop in the middle of a body must not hold up the request of a new connection until their bodies time
+// out. One of them must be rejected to make room.
+func TestStoppedClientsHoldUpNoRequest(t *testing.T) {
+	g, _ := startGatewayWith(t, withFewDescriptors, okServer(t))
+	g.client.CloseIdleConnections()
+	const connections = 5
+	statuses := make(chan int, connections)
+	for i := range connections {
+		client := g.dial()
+		request := longDeadlineRequest("pay", fmt.Sprint("stopped-", i))
+		client.WriteText(request[:len(request)-1])
+		testkit.Eventually(t, "the head", func() bool { return g.server.ActiveConnections() == i+1 })
+		go func() { statuses <- client.ReadResponse().Status }()
+	}
+	if response := g.lookup(testkit.Plan); response.Status != http.StatusOK {
+		t.Errorf("got %+v", response)
+	}
+	if status := testkit.Receive(t, "the end of a stopped request", statuses); status != http.StatusServiceUnavailable {
+		t.Errorf("the first stopped request to end got status %d, want 503", status)
+	}
+}
+
+// A request that comes while active requests take up all connections must be rejected in time. If it waited in the
+// accept queue, it would get no answer before one of them ends.
+func TestRequestWithoutRoomIsRejected(t *testing.T) {
+	g, _ := startGatewayWith(t, func(cfg *config.Config, opts *options) {
+		withFewDescriptors(cfg, opts)
+		withLongDeadlines(cfg, opts)
+	})
+	g.client.CloseIdleConnections()
+	const connections = 5
+	for i := range connections {
+		id := fmt.Sprint("waiting-", i) // for an endpoint
+		g.dial().WriteText(longDeadlineRequest("lookup", id))
+		g.awaitOpen(id)
+	}
+	for i := range 2 * connections {
+		client := g.dial()
+		client.WriteText(longDeadlineRequest("lookup", fmt.Sprint("extra-", i)))
+		if response := client.ReadResponse(); response.Status != http.StatusServiceUnavailable || !response.Close {
+			t.Errorf("request %d: got %+v, want a rejection that closes the connection", i, response)
+		}
+	}
+}
