Find a Transfer-Encoding in the head as received, not as net/http reports it

Cause: frontend.checkFraming judged the head that net/http had left. For HTTP/1.0 net/http removes the Transfer-Encoding and reports nothing of it, so a length of 0, or none, looked like a request without a body, and the bytes behind the head were read as the next request.

Change: the connection, which follows each head to find its end, also looks for a Transfer-Encoding field; such a request gets a 400 and its connection is closed, whatever its version. The same cause on the way back: an HTTP/1.0 response with both fields was served cut to "2\r", the start of its first chunk; it is a failed attempt now. The check for both fields in an HTTP/1.1 response no longer searches the body that arrived with the head.

--- a/internal/frontend/arrival.go
+++ b/internal/frontend/arrival.go
@@ -8,7 +8,7 @@
 
 // queueDelay returns for how long the first request of a connection has waited in the accept queue since its last byte
 // arrived. It returns 0 for later requests, for connections that did not have to wait, and if the kernel does not tell.
-// conn may be nil.
+// c may be nil.
 func (c *clientConn) queueDelay() time.Duration {
 	if c == nil || !c.delayed {
 		return 0
--- a/internal/frontend/boundary.go
+++ b/internal/frontend/boundary.go
@@ -6,13 +6,21 @@
 // been answered.
 //
 // If the end of a request is unknown, all bytes are passed on, and the connection closes after the response.
+//
+// It also looks for a Transfer-Encoding field, which net/http removes from the heads that it reports.
 type requestBoundary struct {
 	phase         readPhase
 	lineLength    int   // length of the current line of the head, without CR and LF
+	nameLength    int   // number of characters at the start of the line that are those of transferEncodingName
 	sawLine       bool  // a non-empty line has been read
 	bodyRemaining int64 // bytes of the body that have not been passed on yet
+
+	hasTransferEncoding bool // the head has a Transfer-Encoding field
 }
 
+// transferEncodingName is the name of the field in lower case.
+const transferEncodingName = "transfer-encoding"
+
 // readPhase is the part of the current request that a connection has reached.
 type readPhase uint8
 
@@ -29,7 +37,7 @@
 func (b *requestBoundary) advance(bytes []byte) int {
 	switch b.phase {
 	case phaseHeadComplete: // net/http reads on, so for net/http the head is incomplete
-		b.beginHead()
+		*b = requestBoundary{hasTransferEncoding: b.hasTransferEncoding}
 		return b.advanceHead(bytes)
 	case phaseHead:
 		return b.advanceHead(bytes)
@@ -50,6 +58,7 @@
 	for i, char := range bytes {
 		switch {
 		case char != '\n' && char != '\r':
+			b.matchFieldName(char)
 			b.lineLength++
 		case char == '\n':
 			if b.lineLength == 0 && b.sawLine {
@@ -57,12 +66,32 @@
 				return i + 1
 			}
 			b.sawLine = b.sawLine || b.lineLength > 0
-			b.lineLength = 0
+			b.lineLength, b.nameLength = 0, 0
 		}
 	}
 	return len(bytes)
 }
 
+// matchFieldName compares the next character of a line with the name of the Transfer-Encoding field. The first line is
+// the request line, which has no name.
+func (b *requestBoundary) matchFieldName(char byte) {
+	switch {
+	case !b.sawLine || b.nameLength < b.lineLength: // another field
+	case b.nameLength == len(transferEncodingName):
+		b.hasTransferEncoding = b.hasTransferEncoding || char == ':' || char == ' ' || char == '\t'
+	case lowerCase(char) == transferEncodingName[b.nameLength]:
+		b.nameLength++
+	}
+}
+
+// lowerCase returns the lower case of an ASCII letter, and any other character unchanged.
+func lowerCase(char byte) byte {
+	if 'A' <= char && char <= 'Z' {
+		return char + 'a' - 'A'
+	}
+	return char
+}
+
 // beginHead resets the state for the next request.
 func (b *requestBoundary) beginHead() { *b = requestBoundary{} }
 
--- a/internal/frontend/boundary_test.go
+++ b/internal/frontend/boundary_test.go
@@ -51,3 +51,47 @@
 		t.Errorf("passed %d bytes on", n)
 	}
 }
+
+// A Transfer-Encoding field must be found in whatever form net/http accepts it, at whatever byte the head is split into
+// reads. The text of other fields, of the request line and of a body must not be taken for one.
+func TestBoundaryFindsTransferEncoding(t *testing.T) {
+	for text, want := range map[string]bool{
+		"GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n":             true,
+		"GET / HTTP/1.0\nContent-Length: 0\ntransfer-ENCODING:chunked\n\n": true,
+		"GET / HTTP/1.0\r\nTransfer-Encoding:\r\n x\r\n\r\n":               true,
+		"GET / HTTP/1.0\r\nTransfer-Encoding : chunked\r\n\r\n":            true,
+		"GET / HTTP/1.0\r\nX: y\r\n Transfer-Encoding: chunked\r\n\r\n":    false,
+		"GET / HTTP/1.0\r\nTransfer-Encodings: chunked\r\n\r\n":            false,
+		"GET / HTTP/1.0\r\nX-Transfer-Encoding: chunked\r\n\r\n":           false,
+		"GET / HTTP/1.0\r\nTransfer: x\r\nEncoding: y\r\n\r\n":             false,
+		"Transfer-Encoding / HTTP/1.0\r\n\r\n":                             false,
+		"POST / HTTP/1.0\r\n\r\n\r\nTransfer-Encoding: chunked\r\n\r\n":    false,
+	} {
+		for split := range len(text) {
+			var boundary requestBoundary
+			for _, part := range []string{text[:split], text[split:]} {
+				if part != "" && boundary.phase == phaseHead {
+					boundary.advance([]byte(part))
+				}
+			}
+			if boundary.hasTransferEncoding != want {
+				t.Fatalf("%q split at %d: found %v, want %v", text, split, boundary.hasTransferEncoding, want)
+			}
+		}
+	}
+}
+
+// A field that was found must not be forgotten if net/http reads on after the detected end of the head, and must not
+// count for the next request.
+func TestTransferEncodingBelongsToItsRequest(t *testing.T) {
+	var boundary requestBoundary
+	boundary.advance([]byte("GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	boundary.advance([]byte("more"))
+	if !boundary.hasTransferEncoding {
+		t.Error("the field was forgotten")
+	}
+	boundary.beginHead()
+	if boundary.hasTransferEncoding {
+		t.Error("the field counts for the next request")
+	}
+}
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -233,6 +233,10 @@
 	return c.limiter.beginRequest(c, c.boundary.phase == phaseBody)
 }
 
+// hasTransferEncoding reports whether the head of the current request, as it was received, has a Transfer-Encoding
+// field. c may be nil.
+func (c *clientConn) hasTransferEncoding() bool { return c != nil && c.boundary.hasTransferEncoding }
+
 // beginIdle is called when a request has been answered and the connection stays open for a further one.
 func (c *clientConn) beginIdle() {
 	c.boundary.beginHead()
--- a/internal/frontend/fuzz_test.go
+++ b/internal/frontend/fuzz_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,6 +27,9 @@
 	quotaPattern = regexp.MustCompile(`^` + quotaFieldPattern + `,` + quotaFieldPattern + `,` + quotaFieldPattern + `$`)
 )
 
+// transferEncodingPattern is the pattern of a Transfer-Encoding field in a head.
+var transferEncodingPattern = regexp.MustCompile(`(?i)\nTransfer-Encoding[ \t]*:`)
+
 const quotaFieldPattern = `[\s\v\x{85}\p{Z}]*(units|spread|first)=([0-9.]+)[\s\v\x{85}\p{Z}]*`
 
 func newFuzzParser(t testing.TB) (*requestParser, settings.Settings) {
@@ -41,15 +45,25 @@
 	parser, s := newFuzzParser(f)
 	f.Add([]byte(testkit.RequestHead(http.MethodGet, "lookup", "a", "0.480")))
 	f.Add([]byte(testkit.RequestHead(http.MethodPost, "pay", "a", "8") + "x"))
+	http10 := strings.Replace(testkit.RequestHead(http.MethodGet, "lookup", "a", "1"), "HTTP/1.1\r\n",
+		"HTTP/1.0\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n", 1)
+	f.Add([]byte(http10))
+	f.Add([]byte(strings.Replace(http10, "Transfer-Encoding", "tRANSFER-eNCODING", 1)))
+	f.Add([]byte(strings.Replace(http10, "Transfer-Encoding: chunked", "X: a\r\n Transfer-Encoding: chunked", 1)))
 	f.Fuzz(func(t *testing.T, input []byte) {
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(input)))
 		if err != nil {
 			return // net/http responds to it
 		}
-		if err = checkFraming(request); err != nil {
+		var boundary requestBoundary
+		head := input[:boundary.advance(input)]
+		if err = checkFraming(request, boundary.hasTransferEncoding); err != nil {
 			checkClientError(t, err)
 			return
 		}
+		if transferEncodingPattern.Match(head) {
+			t.Errorf("accepted a request with a Transfer-Encoding: %q", head)
+		}
 		parsed, err := parser.parse(request, time.Hour)
 		if err != nil {
 			checkClientError(t, err)
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -17,6 +17,9 @@
 
 const healthPath = "/health/ready"
 
+// unknownLength stands for the length of a body whose end is not known.
+const unknownLength = -1
+
 // Engine decides how requests are handled. eventloop.Loop implements it.
 type Engine interface {
 	Submit(call *eventloop.Call)
@@ -55,12 +58,17 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connectionOf(r)
 	receivedAt := h.clock.Now() - conn.queueDelay()
-	if conn != nil && !conn.beginRequest(bodyLength(r)) {
+	framingErr := checkFraming(r, conn.hasTransferEncoding())
+	bodyLength := r.ContentLength
+	if framingErr != nil {
+		bodyLength = unknownLength
+	}
+	if conn != nil && !conn.beginRequest(bodyLength) {
 		invariant.RecordViolation(invariant.Starting, r.Header.Get("Req-Id"), "the request starts on a closed connection")
 		panic(http.ErrAbortHandler)
 	}
-	if err := checkFraming(r); err != nil {
-		h.respondError(w, r, err)
+	if framingErr != nil {
+		h.respondError(w, r, framingErr)
 		return
 	}
 	if r.URL.Path == healthPath {
@@ -113,20 +121,13 @@
 	h.serveCall(w, r, call, body)
 }
 
-// bodyLength returns the length of a request's body, or -1 if it is unknown.
-func bodyLength(r *http.Request) int64 {
-	if checkFraming(r) != nil {
-		return -1
-	}
-	return r.ContentLength
-}
-
 // checkFraming rejects bodies without a definite length, which allow request smuggling. If a request has both a
 // Content-Length and a Transfer-Encoding, net/http silently drops the length, and the bytes after the last chunk may be
-// another request. For HTTP/1.0, which has no transfer codings, net/http drops the Transfer-Encoding instead. Clients
-// of the protocol send a Content-Length only.
-func checkFraming(r *http.Request) error {
-	if r.TransferEncoding != nil || r.ContentLength != 0 && !r.ProtoAtLeast(1, 1) {
+// another request. For HTTP/1.0, which has no transfer codings, net/http drops the Transfer-Encoding instead, so that
+// the caller has to tell from the head as it was received whether there is one. Clients of the protocol send a
+// Content-Length only.
+func checkFraming(r *http.Request, hasTransferEncoding bool) error {
+	if hasTransferEncoding || r.TransferEncoding != nil || r.ContentLength != 0 && !r.ProtoAtLeast(1, 1) {
 		return badRequest("the body has no definite length")
 	}
 	return nil
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -21,6 +21,7 @@
 const (
 	getLine    = "GET " + lookupPath + " HTTP/1.1"
 	postLine   = "POST " + addPath + " HTTP/1.1"
+	get10Line  = "GET " + lookupPath + " HTTP/1.0"
 	post10Line = "POST " + addPath + " HTTP/1.0"
 )
 
@@ -105,6 +106,10 @@
 	{postLine, headersWithKey("Content-Length: 62914560"), strings.Repeat("x", 1<<20), "413"},
 	{post10Line, headersWithKey("Transfer-Encoding: chunked", "Content-Length: 1"), "x", "400"},
 	{"GET /health/ready HTTP/1.1", headersWith("", "Transfer-Encoding: chunked"), "0\r\n\r\n", "400"},
+	{"GET /health/ready HTTP/1.0", []string{"Transfer-Encoding: chunked"}, "0\r\n\r\n", "400"},
+	{get10Line, headersWith("", "Transfer-Encoding: chunked"), "0\r\n\r\n", "400"},
+	{get10Line, headersWith("", "Transfer-Encoding: identity", "Content-Length: 0"), "", "400"},
+	{post10Line, headersWithKey("Transfer-Encoding: chunked", "Content-Length: 0"), "", "400"},
 	{postLine, headersWithKey("Transfer-Encoding: chunked"), "what\r\n", "400"},
 }
 
@@ -176,3 +181,29 @@
 		t.Errorf("%d requests reached the server", server.Requests.Load())
 	}
 }
+
+// A request may hide behind an HTTP/1.0 request with a Transfer-Encoding, where net/http sees no body. The outer
+// request must get one error response, its connection must end, and the hidden request must not be forwarded.
+func TestRequestHiddenBehindHTTP10IsNotForwarded(t *testing.T) {
+	server := okServer(t)
+	g, _ := startGateway(t, server)
+	hidden := testkit.RequestHead(http.MethodPost, "pay", "hidden", "5") + "x"
+	for _, framing := range []string{
+		"Content-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+		"Transfer-Encoding: chunked\r\nContent-Length: 0\r\n",
+		"transfer-encoding:chunked\r\n",
+		"TRANSFER-ENCODING: identity\r\n",
+		"Transfer-Encoding:\r\n chunked\r\n",
+	} {
+		client := g.dial()
+		client.WriteText(strings.Replace(testkit.RequestHead(http.MethodGet, "lookup", "outer", "5"), "HTTP/1.1\r\n",
+			"HTTP/1.0\r\nConnection: keep-alive\r\n"+framing, 1) + hidden)
+		all, err := io.ReadAll(client.Reader)
+		if err != nil || strings.Count(string(all), "HTTP/1.") != 1 || !strings.Contains(string(all), " 400 ") {
+			t.Errorf("%q: got %q, %v", framing, all, err)
+		}
+	}
+	if server.Requests.Load() != 0 {
+		t.Errorf("%d requests reached the server", server.Requests.Load())
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -14,7 +14,7 @@
 	socket         syscall.RawConn
 	reader         *bufio.Reader
 	remainingBytes int    // number of bytes that may still be read for the current response
-	head           []byte // raw head of the current response, possibly followed by a part of its body
+	head           []byte // text of the current response, at least up to the end of its head
 	idleSince      time.Time
 }
 
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -45,6 +45,7 @@
 	f.Add([]byte("HTTP/1.1 101 Switching Protocols\r\n\r\n" + responseText("200 OK", "")))
 	f.Add([]byte("HTTP/1.1 101 Switching Protocols\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.0 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, input []byte) {
 		result, keepAlive, consumed, bytesRead, err := readResponseFrom(input)
@@ -90,11 +91,15 @@
 	if wantBody, err := io.ReadAll(want.Body); err != nil || !bytes.Equal(body, wantBody) {
 		t.Errorf("body %q, want %q, %v", body, wantBody, err)
 	}
+	headText := strings.ToLower(string(consumed[:headLength]))
+	if !want.ProtoAtLeast(1, 1) && strings.Contains(headText, "\ntransfer-encoding:") {
+		t.Errorf("accepted an HTTP/1.0 response with a Transfer-Encoding: %q", consumed)
+	}
 	if len(want.TransferEncoding) == 0 {
 		if head := len(consumed) - len(body); !bytes.HasSuffix(consumed, body) || head > MaxHeaderBytes {
 			t.Errorf("head of %d bytes, body %q is not the end of %q or the head is too long", head, body, consumed)
 		}
-	} else if strings.Contains(strings.ToLower(string(consumed[:headLength])), "\ncontent-length:") {
+	} else if strings.Contains(headText, "\ncontent-length:") {
 		t.Errorf("accepted a Content-Length next to a Transfer-Encoding: %q", consumed)
 	}
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -77,17 +77,16 @@
 
 func (c *connection) readBody(response *http.Response) ([]byte, error) {
 	length := response.ContentLength
-	if length > MaxBodyBytes {
+	switch {
+	case length > MaxBodyBytes:
 		return nil, errResponseTooLong
-	}
-	if length >= 0 {
+	case hasAmbiguousLength(response, c.headText()):
+		return nil, errAmbiguousLength
+	case length >= 0:
 		body := make([]byte, length)
 		_, err := io.ReadFull(response.Body, body)
 		return body, err
 	}
-	if len(response.TransferEncoding) == 0 || hasContentLength(c.head) {
-		return nil, errAmbiguousLength
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxBodyBytes+1))
 	if err == nil && len(body) > MaxBodyBytes {
 		err = errResponseTooLong
@@ -95,11 +94,28 @@
 	return body, err
 }
 
-// hasContentLength reports whether a response head has a Content-Length field, which net/http drops silently if there
-// is a Transfer-Encoding field. A match in the part of the body that was read with the head counts as well, because no
-// response is better than an ambiguous one.
-func hasContentLength(head []byte) bool {
-	return bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length"))
+// headText returns the head of the current response as it was received, after the heads of its interim responses. It is
+// valid until the body is read.
+func (c *connection) headText() []byte { return c.head[:len(c.head)-c.reader.Buffered()] }
+
+// hasAmbiguousLength reports whether a response has no length, or both a Content-Length and a Transfer-Encoding field.
+// net/http silently drops the Content-Length in that case, and the Transfer-Encoding of an HTTP/1.0 response, so that
+// they show only in the text of the head.
+func hasAmbiguousLength(response *http.Response, head []byte) bool {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return hasField(head, "content-length")
+	case !response.ProtoAtLeast(1, 1) && hasField(head, "transfer-encoding"):
+		return true
+	default:
+		return response.ContentLength < 0
+	}
+}
+
+// hasField reports whether a head has a field whose name begins with the given name, in lower case. Longer names count
+// as well, because no response is better than an ambiguous one.
+func hasField(head []byte, name string) bool {
+	return bytes.Contains(bytes.ToLower(head), []byte("\n"+name))
 }
 
 // responseStatus maps a complete response to the status of its attempt.
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -67,6 +67,11 @@
 			"2\r\nok\r\n0\r\n\r\n", true), policy.StatusReset, false},
 		{"chunked, then Content-Length", reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n"+
 			"2\r\nok\r\n0\r\n\r\n", true), policy.StatusReset, false},
+		{"HTTP/1.0, Content-Length and chunked", reply("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true), policy.StatusReset, false},
+		{"HTTP/1.0, chunked", reply("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false),
+			policy.StatusReset, false},
+		{"HTTP/1.0", reply("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", true), policy.StatusOK, false},
 		{"invalid chunk size", reply(chunkedHead+"2\r\nok\r\nzz\r\nok\r\n0\r\n\r\n", true), policy.StatusReset, false},
 		{"endless chunks", testkit.Flood(chunkedHead, "1\r\nx\r\n"), policy.StatusReset, false},
 		{"endless head", testkit.Flood("HTTP/1.1 200 OK\r\n", "X-Pad: pppp\r\n"), policy.StatusReset, false},
@@ -93,6 +98,20 @@
 	}
 }
 
+// The text of a body must not be taken for a field of the head, even if it arrives together with the head.
+func TestBodyIsNotSearchedForFields(t *testing.T) {
+	const body = "\ncontent-length: 2\ntransfer-encoding: chunked\n"
+	for _, text := range []string{
+		fmt.Sprintf("HTTP/1.0 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+		fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n", chunkedHead, len(body), body),
+	} {
+		result, _, _, _, err := readResponseFrom([]byte(text))
+		if err != nil || string(result.Response.Body) != body {
+			t.Errorf("%q: got body %q, %v", text, result.Response.Body, err)
+		}
+	}
+}
+
 // An answer that comes some time after a 101 must go to its own request. If the 101 were taken for the answer, the next
 // request on the connection would get the answer to this one.
 func TestAnswerAfter101GoesToItsRequest(t *testing.T) {
