--- a/internal/frontend/boundary.go
+++ b/internal/frontend/boundary.go
@@ -58,7 +58,9 @@
 	for i, char := range bytes {
 		switch {
 		case char != '\n' && char != '\r':
-			b.matchFieldName(char)
+			if b.nameLength == b.lineLength {
+				b.matchFieldName(char)
+			}
 			b.lineLength++
 		case char == '\n':
 			if b.lineLength == 0 && b.sawLine {
@@ -72,15 +74,17 @@
 	return len(bytes)
 }
 
-// matchFieldName compares the next character of a line with the name of the Transfer-Encoding field. The first line is
-// the request line, which has no name.
+// matchFieldName compares the next character of a line with the name of the Transfer-Encoding field. The line has begun
+// with the name so far. The request line has no name.
 func (b *requestBoundary) matchFieldName(char byte) {
 	switch {
-	case !b.sawLine || b.nameLength < b.lineLength: // another field
-	case b.nameLength == len(transferEncodingName):
-		b.hasTransferEncoding = b.hasTransferEncoding || char == ':' || char == ' ' || char == '\t'
-	case lowerCase(char) == transferEncodingName[b.nameLength]:
-		b.nameLength++
+	case !b.sawLine:
+	case b.nameLength < len(transferEncodingName):
+		if lowerCase(char) == transferEncodingName[b.nameLength] {
+			b.nameLength++
+		}
+	case char == ':' || char == ' ' || char == '\t':
+		b.hasTransferEncoding = true
 	}
 }
 
