Evict stalled heads like stalled bodies, and all excess connections together

Cause: an incomplete head could be evicted only 1 s after its accept, so that a queue of several times the client share took seconds; and evictions began one at a time, at least 1 ms apart.

Change: an incomplete head may be evicted after 0.1 s without a byte, like a body (0.2 s before), and gets a 503. A byte now and then protects it for 1 s.

TestEvictedHeadIsRejected, TestProgressIsLimited and TestExcessIsEvictedTogether are new.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -59,7 +59,7 @@
 	state            connectionState
 	stateBeforeClose connectionState // state before stateClosing
 	closeReason      counters.Event  // event that is counted when a connection in stateClosing is closed
-	stateSince       time.Time       // time of accept, of becoming idle, of the last byte of a body, or of unread bytes
+	stateSince       time.Time       // time of accept, of becoming idle, of the last progress, or of unread bytes
 	readDeadline     time.Time       // last deadline that was set; not applied in stateClosing
 
 	// The goroutine that serves the connection owns the following fields. While a request is open, the background
@@ -274,15 +274,6 @@
 	return err == nil && n > 0
 }
 
-// minHeadAge returns for how long the head of the first request may be incomplete before the connection is evicted. A
-// connection for which there is no room keeps others waiting and gets less time.
-func (c *clientConn) minHeadAge() time.Duration {
-	if c.beyondReserve {
-		return minNewAge
-	}
-	return minHeadAge
-}
-
 // peek checks the receive buffer for bytes without removing them. It returns 1 if there are any. 0 without an error
 // means that the client has closed the connection.
 func (c *clientConn) peek() (n int, err error) {
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -1,82 +1,78 @@
 package frontend
 
 import (
+	"slices"
 	"time"
 
 	"springfield/internal/counters"
 )
 
-// A connection is evicted only after it has been in its state for a minimum time.
 const (
-	minNewAge  = 100 * time.Millisecond // in stateNew
-	minHeadAge = time.Second            // in stateReadingHead
-	minBodyAge = 200 * time.Millisecond // in stateReadingBody, without a further byte
-	minIdleAge = 2 * time.Second        // in stateIdle
+	// A connection is evicted only after a minimum time without progress.
+	minStallAge = 100 * time.Millisecond // while its request is incomplete, also if none has begun
+	minIdleAge  = 2 * time.Second        // after a request
+
+	// maxHeadTime is the time after the accept from which further bytes of the first head are no progress any more.
+	maxHeadTime = time.Second
 )
 
-// evict begins to close one connection: the oldest one that has not sent a complete head yet, or else the one that has
-// been idle for longest. It returns false if there is no such connection.
+// headRejection is the response to the first request of a connection that is evicted before its head is complete.
+var headRejection = []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+
+// evict begins to close one connection: the one that has waited for longest for the head of its first request, or else
+// the one that has been idle for longest. It returns false if there is no such connection.
 func (l *connectionLimiter) evict(now time.Time) bool {
+	return l.evictFirst(now, func() *clientConn {
+		if c := l.longestInState(now, minStallAge, stateNew, stateReadingHead); c != nil {
+			return c
+		}
+		return l.longestInState(now, minIdleAge, stateIdle)
+	})
+}
+
+// evictStalledBody begins to evict the connection that has waited for longest for the rest of a body, whose request is
+// rejected. It returns false if there is no such connection.
+func (l *connectionLimiter) evictStalledBody(now time.Time) bool {
+	return l.evictFirst(now, func() *clientConn { return l.longestInState(now, minStallAge, stateReadingBody) })
+}
+
+// evictFirst begins to close the first connection from candidate that has no unread bytes, which may be a request. It
+// returns false once candidate returns nil. It calls candidate with l.mu held.
+func (l *connectionLimiter) evictFirst(now time.Time, candidate func() *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	incomplete, idle := l.evictionCandidates(now)
-	for _, c := range [...]*clientConn{incomplete, idle} {
-		if c == nil {
-			continue
-		}
-		if l.hasUnread(c) { // the unread bytes may be a request
-			c.stateSince = now
-			continue
+	for c := candidate(); c != nil; c = candidate() {
+		if !l.hasUnread(c) {
+			l.beginClose(c, counters.CloseEvicted)
+			return true
 		}
-		l.beginClose(c, counters.CloseEvicted)
-		return true
+		c.stateSince = now // it is no candidate any more
 	}
 	return false
 }
 
-// evictionCandidates returns the oldest connection without a complete head and the connection that has been idle for
-// longest. Either is nil if there is none. The caller holds l.mu.
-func (l *connectionLimiter) evictionCandidates(now time.Time) (incomplete, idle *clientConn) {
+// longestInState returns the connection that has been in one of the states for longest, or nil if none has been for the
+// minimum time. The caller holds l.mu.
+func (l *connectionLimiter) longestInState(now time.Time, minAge time.Duration, states ...connectionState) *clientConn {
+	var longest *clientConn
 	for c := range l.conns {
-		age := now.Sub(c.stateSince)
-		switch {
-		case c.state == stateNew && age >= minNewAge, c.state == stateReadingHead && age >= c.minHeadAge():
-			incomplete = older(incomplete, c)
-		case c.state == stateIdle && age >= minIdleAge:
-			idle = older(idle, c)
+		if !slices.Contains(states, c.state) || now.Sub(c.stateSince) < minAge {
+			continue
+		}
+		if longest == nil || c.stateSince.Before(longest.stateSince) {
+			longest = c
 		}
 	}
-	return incomplete, idle
-}
-
-// older returns the connection that has been in its state for longer. a may be nil, b may not.
-func older(a, b *clientConn) *clientConn {
-	if a == nil || b.stateSince.Before(a.stateSince) {
-		return b
-	}
-	return a
+	return longest
 }
 
-// evictStalledBody begins to evict the connection that has waited for longest for the rest of a body, whose request is
-// rejected. It returns false if there is no such connection.
-func (l *connectionLimiter) evictStalledBody(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for {
-		var stalled *clientConn
-		for c := range l.conns {
-			if c.state == stateReadingBody && now.Sub(c.stateSince) >= minBodyAge {
-				stalled = older(stalled, c)
-			}
-		}
-		if stalled == nil {
-			return false
-		}
-		if !l.hasUnread(stalled) {
-			l.beginClose(stalled, counters.CloseEvicted)
-			return true
-		}
-		stalled.stateSince = now // the unread bytes may complete the body
+// recordProgress notes that bytes of an incomplete request have been read. A connection for which there was no room
+// keeps others waiting, so that nothing counts as its progress. The caller holds l.mu.
+func (l *connectionLimiter) recordProgress(c *clientConn) {
+	now := time.Now()
+	isLateHead := c.state == stateReadingHead && now.Sub(c.acceptedAt) >= maxHeadTime
+	if !c.beyondReserve && !isLateHead {
+		c.stateSince = now
 	}
 }
 
@@ -91,7 +87,7 @@
 		case stateIdle:
 			closable = true
 		case stateNew:
-			closable = force || now.Sub(c.stateSince) >= minNewAge
+			closable = force || now.Sub(c.stateSince) >= minStallAge
 		case stateReadingHead, stateReadingBody:
 			closable = force
 		}
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -100,6 +100,65 @@
 	wantOpen(t, listener.limiter, 1)
 }
 
+// A client whose head was begun and then evicted must get a rejection, since it may be one that writes slowly and would
+// lose its request.
+func TestEvictedHeadIsRejected(t *testing.T) {
+	listener := newTestListener(t)
+	conn, client := acceptOne(t, listener)
+	client.WriteText("GET")
+	readSome(t, conn)
+	if listener.limiter.evict(conn.stateSince) {
+		t.Error("evicted a head that has just made progress")
+	}
+	if !listener.limiter.evict(time.Now().Add(time.Hour)) {
+		t.Fatal("the stalled head was not evicted")
+	}
+	wantClosed(t, conn)
+	if response := client.ReadResponse(); response.Status != http.StatusServiceUnavailable || !response.Close {
+		t.Errorf("got %+v, want a rejection that closes the connection", response)
+	}
+	if _, err := client.Reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection ended with %v", err)
+	}
+}
+
+// Further bytes must not protect a connection for which there is no room, nor a head that has been incomplete for long.
+// Clients that send a byte now and then would otherwise hold up others.
+func TestProgressIsLimited(t *testing.T) {
+	for name, change := range map[string]func(*clientConn){
+		"without room": func(c *clientConn) { c.beyondReserve = true },
+		"late head":    func(c *clientConn) { c.acceptedAt = c.acceptedAt.Add(-maxHeadTime) },
+		"in time":      func(c *clientConn) { c.acceptedAt = c.acceptedAt.Add(time.Hour) },
+	} {
+		conn, client := acceptOne(t, newTestListener(t))
+		client.WriteText("G")
+		readSome(t, conn)
+		change(conn)
+		before := conn.stateSince
+		client.WriteText("E")
+		readSome(t, conn)
+		if progress := conn.stateSince.After(before); progress != (name == "in time") {
+			t.Errorf("%s: the second byte counts as progress: %v", name, progress)
+		}
+	}
+}
+
+// All connections beyond the limit must be evicted together. One at a time would take long while hundreds wait.
+func TestExcessIsEvictedTogether(t *testing.T) {
+	const excess = 5
+	listener := newTestListener(t)
+	listener.limiter.limit, listener.limiter.reserve = testLimit, testLimit
+	for range excess {
+		conn, _ := acceptOne(t, listener)
+		conn.stateSince = time.Now().Add(-time.Hour)
+	}
+	listener.limiter.limit = 0
+	listener.evictExcess()
+	if over, closing := listener.limiter.excessWithClosing(); over != excess || closing != excess {
+		t.Errorf("%d of %d connections are being closed, want all", closing, over)
+	}
+}
+
 // noEngine is an Engine that no request reaches.
 type noEngine struct {
 	Engine
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -21,8 +21,8 @@
 // net/http change too late for this decision, only once the complete head has been read. If a connection were closed
 // while its request runs, the client would lose the response, and its retry would be a second copy of the request. The
 // limiter therefore does not close connections itself. It interrupts the goroutine that reads the connection, and that
-// goroutine closes it unless it has read something or bytes have arrived meanwhile. If it waits for the rest of a body,
-// it rejects the request before it closes the connection.
+// goroutine closes it unless it has read something or bytes have arrived meanwhile. If a part of a request has been
+// read, it rejects the request before it closes the connection.
 type connectionLimiter struct {
 	limit     int
 	reserve   int                    // number of connections beyond limit that may be open for a short time
@@ -144,11 +144,13 @@
 	requestBegan = c.state == stateIdle
 	switch {
 	case phase == phaseBody:
-		c.state, c.stateSince = stateReadingBody, time.Now()
+		c.state = stateReadingBody
+		l.recordProgress(c)
 	case requestBegan, phase != phaseHead:
 		c.state = stateActive
-	case c.state == stateNew:
+	case c.state == stateNew, c.state == stateReadingHead:
 		c.state = stateReadingHead
+		l.recordProgress(c)
 	}
 	return requestBegan, true
 }
@@ -197,6 +199,9 @@
 		c.state = stateRejecting
 		return interruptionRejectsBody
 	}
+	if c.stateBeforeClose == stateReadingHead && c.closeReason == counters.CloseEvicted {
+		_, _ = c.Write(headRejection) // does not block, since nothing was written before
+	}
 	l.removeLocked(c)
 	_ = c.TCPConn.Close() // frees the descriptor even if it returns an error
 	counters.Count(c.closeReason, "")
@@ -224,7 +229,8 @@
 	case c.state == stateClosed:
 		return false
 	case hasBody:
-		c.state, c.stateSince = stateReadingBody, time.Now()
+		c.state = stateReadingBody
+		l.recordProgress(c)
 	default:
 		c.state = stateActive
 	}
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -130,9 +130,7 @@
 // once there has been no room for maxFullTime.
 func (l *limitedListener) awaitRoom(bounded bool) bool {
 	for {
-		if l.limiter.excess() > 0 {
-			l.evictOne()
-		}
+		l.evictExcess()
 		overLimit, closing := l.limiter.excessWithClosing()
 		if overLimit <= l.limiter.reserve {
 			return true
@@ -154,11 +152,13 @@
 	}
 }
 
-// evictOne begins to evict a connection without a complete request if there is one.
-func (l *limitedListener) evictOne() {
+// evictExcess begins to evict a connection without a complete request for each one beyond the limit.
+func (l *limitedListener) evictExcess() {
 	now := time.Now()
-	if !l.limiter.evict(now) {
-		l.limiter.evictStalledBody(now)
+	for l.limiter.excess() > 0 {
+		if !l.limiter.evict(now) && !l.limiter.evictStalledBody(now) {
+			return
+		}
 	}
 }
 
