--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -103,6 +103,13 @@
 	return conn != nil && conn.beyondReserve && l.excess() > l.reserve
 }
 
+// open returns the number of connections, including those that are being closed.
+func (l *connectionLimiter) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // active returns the number of connections on which a request has begun and has not been answered yet.
 func (l *connectionLimiter) active() int {
 	l.mu.Lock()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -93,5 +93,8 @@
 // for diagnostics.
 func (s *Server) ActiveConnections() int { return s.limiter.active() }
 
+// OpenConnections returns the number of connections that have not been closed yet. It is for diagnostics.
+func (s *Server) OpenConnections() int { return s.limiter.open() }
+
 // ReadAhead returns the number of bytes of further requests that have been read ahead. It is for diagnostics.
 func (s *Server) ReadAhead() int { return s.limiter.readAhead() }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -145,6 +145,13 @@
 	return testkit.Dial(g.t, g.address)
 }
 
+// awaitNoConnections closes the idle connections of the client and waits until the gateway has closed its ends.
+func (g *testGateway) awaitNoConnections() {
+	g.t.Helper()
+	g.client.CloseIdleConnections()
+	testkit.Eventually(g.t, "the end of all connections", func() bool { return g.server.OpenConnections() == 0 })
+}
+
 // awaitOpen waits until the request with the id is open.
 func (g *testGateway) awaitOpen(id string) {
 	g.t.Helper()
