Test the forced drain of incomplete bodies and the stop after a delay

With the change of the forced drain taken back, the first test does not end, because the read of the body is never interrupted; it now waits with the time limit of the other tests. The second was not run without its change.

--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -159,6 +159,26 @@
 	}
 }
 
+// The end of a drain must reject requests whose bodies are incomplete. They have not been accepted, and waiting for
+// them would keep the process from ending in time.
+func TestForcedDrainRejectsIncompleteBody(t *testing.T) {
+	listener := newTestListener(t)
+	conn, client := acceptOne(t, listener)
+	makeBodyStall(t, conn, client)
+	if listener.limiter.continueDrain(time.Now(), false); conn.state != stateReadingBody {
+		t.Errorf("before the end of the drain the connection is in state %d", conn.state)
+	}
+	listener.limiter.continueDrain(time.Now(), true)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, bufferSize))
+		ended <- err
+	}()
+	if err := testkit.Receive(t, "the end of the read", ended); !errors.Is(err, errRequestEvicted) {
+		t.Errorf("the read of the incomplete body ended with %v, want errRequestEvicted", err)
+	}
+}
+
 // noEngine is an Engine that no request reaches.
 type noEngine struct {
 	Engine
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -36,6 +36,24 @@
 	}
 }
 
+// Connections that have waited because there was no room must be accepted although the listener should have stopped
+// meanwhile, or their requests would get no response. This must end at the failure deadline.
+func TestStoppingListenerAcceptsAfterDelay(t *testing.T) {
+	listener := newTestListener(t)
+	testkit.Dial(t, listener.Addr().String())
+	testkit.Dial(t, listener.Addr().String())
+	listener.stop(time.Now().Add(time.Hour))
+	listener.stopDeadline = time.Now().Add(-time.Second)
+	listener.lastDelayAt = time.Now().Add(time.Hour) // still recent on a slow machine
+	if _, err := listener.Accept(); err != nil {
+		t.Errorf("soon after a delay: %v", err)
+	}
+	listener.failureDeadline = time.Now().Add(-time.Second)
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after the failure deadline: %v", err)
+	}
+}
+
 // stop may be called before attach. It must take effect after the backlog of the attached listener has been accepted.
 func TestStopBeforeAttachAcceptsBacklog(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
