--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 )
 
@@ -80,13 +79,18 @@
 
 // exchange sends a request on a connection of its own and returns the response, for which it waits until the timeout.
 func exchange(address string, r request, timeout time.Duration) response {
+	return exchangeText(address, r.encode(), timeout)
+}
+
+// exchangeText is like exchange for the text of a request.
+func exchangeText(address, text string, timeout time.Duration) response {
 	conn, err := dialClient(address)
 	if err != nil {
 		return response{at: time.Now(), err: err}
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(timeout)) // fails only on a closed connection
-	if _, err := io.Copy(conn, strings.NewReader(r.encode())); err != nil {
+	if _, err := io.WriteString(conn, text); err != nil {
 		return response{at: time.Now(), err: err}
 	}
 	return conn.readResponse()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -34,6 +34,7 @@
 	"memory":   playMemory,
 	"restart":  playRestart,
 	"second":   playSecond,
+	"target":   playTarget,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -16,6 +16,7 @@
 	at       time.Time
 	id       string
 	server   string
+	target   string  // request target as it was received
 	deadline float64 // time that the attempt tells, in seconds
 	sequence int     // number of the request at its server, from 1
 }
@@ -113,8 +114,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := arrival{at: time.Now(), id: request.Header.Get("Req-Id"), server: s.id, deadline: deadline,
-		sequence: len(s.arrivals) + 1}
+	a := arrival{at: time.Now(), id: request.Header.Get("Req-Id"), server: s.id,
+		target: request.RequestURI, deadline: deadline, sequence: len(s.arrivals) + 1}
 	s.arrivals = append(s.arrivals, a)
 	return a
 }
