--- a/review/standin2/gateway.go
+++ b/review/standin2/gateway.go
@@ -115,3 +115,13 @@
 	g.stop.Do(func() { _ = g.process.Process.Kill() }) // fails only if the process has ended
 	<-g.exited
 }
+
+// hasEnded reports whether the process has ended.
+func (g *gateway) hasEnded() bool {
+	select {
+	case <-g.exited:
+		return true
+	default:
+		return false
+	}
+}
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -17,13 +17,14 @@
 	memoryClients  = 500      // bad clients
 	memoryBody     = 64 << 10 // bytes
 	memoryLength   = 10 * time.Second
+	memoryLead     = 3 * time.Second        // after the usual clients the bad ones come
 	memoryInterval = 100 * time.Millisecond // between two requests of usual clients
 	memoryService  = 200 * time.Millisecond
 	memoryDeadline = 4.0 // seconds
 	memoryWatch    = 20 * time.Millisecond
 )
 
-// playMemory lets bad clients stop in the middle of their bodies and stay, and watches the gateway's memory.
+// playMemory lets bad clients stop in the middle of their bodies and stay, while the platform watches the memory.
 func playMemory(w *world) (broken bool, err error) {
 	d, err := w.deploy(&oslo, memoryServers, answerAfter(memoryService), memoryMB, memorySockets)
 	if err != nil {
@@ -32,11 +33,12 @@
 	endAt := time.Now().Add(memoryLength)
 	var clients sync.WaitGroup
 	if w.trouble {
-		w.logf("%d bad clients begin: each sends a request of the class %s without the last byte of its body, stays, and "+
-			"does so again when its connection is ended", memoryClients, d.unsafeClass)
+		w.logf("%d bad clients come after %v: each sends a request of the class %s without the last byte of its body, "+
+			"stays, and does so again when its connection is ended", memoryClients, memoryLead, d.unsafeClass)
 		for i := range memoryClients {
 			clients.Go(func() {
-				for n := 0; time.Now().Before(endAt); n++ {
+				time.Sleep(memoryLead)
+				for n := 0; time.Now().Before(endAt) && !d.gateway.hasEnded(); n++ {
 					r := d.unsafeRequest(fmt.Sprintf("bad-%d-%d", i, n), i, memoryDeadline)
 					r.body = strings.Repeat("x", memoryBody)
 					text := r.encode()
@@ -51,22 +53,37 @@
 			return d.unsafeRequest(fmt.Sprintf("usual-%03d", number), number, memoryDeadline)
 		})
 	})
-	highest := 0
+	highest, killed, err := w.limitMemory(d.gateway, endAt)
+	if err != nil {
+		return false, err
+	}
+	clients.Wait()
+	own, _ := w.judgeBodies(sent)
+	w.logf("%d of %d usual requests were served; the gateway had %.1f MB of its own at most, and may have %d MB; "+
+		"killed: %v", own, len(sent), float64(highest)/(1<<20), memoryMB, killed)
+	return killed, nil
+}
+
+// limitMemory takes the place of the platform, which kills a gateway that goes over its memory. It returns the most
+// memory that the gateway had, and whether it was killed for it.
+func (w *world) limitMemory(g *gateway, endAt time.Time) (highest int, killed bool, err error) {
 	for ; time.Now().Before(endAt); time.Sleep(memoryWatch) {
-		resident, err := anonymousMemory(d.gateway.process.Process.Pid)
+		resident, err := anonymousMemory(g.process.Process.Pid)
 		if err != nil {
-			return false, err
+			return highest, false, err
+		}
+		if resident <= highest {
+			continue
 		}
-		if resident > highest {
-			highest = resident
-			w.logf("the gateway has %.1f MB of memory of its own, without files", float64(highest)/(1<<20))
+		highest = resident
+		w.logf("the gateway has %.1f MB of memory of its own, without files", float64(highest)/(1<<20))
+		if highest > memoryMB<<20 {
+			w.logf("the platform kills the gateway, which is over its %d MB", memoryMB)
+			g.kill()
+			return highest, true, nil
 		}
 	}
-	clients.Wait()
-	own, _ := w.judgeBodies(sent)
-	w.logf("%d of %d usual requests were served; the gateway had %.1f MB of its own at most, and may have %d MB", own,
-		len(sent), float64(highest)/(1<<20), memoryMB)
-	return highest > memoryMB<<20, nil
+	return highest, false, nil
 }
 
 // anonymousMemory returns the resident memory of a process in bytes, without that of files.
