--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -21,7 +21,7 @@
 func (w *world) deploy(s *site, servers int, answer answerFunc, memoryMB, sockets int) (*deployment, error) {
 	d := &deployment{site: s}
 	for i := range servers {
-		server, err := startServer(fmt.Sprintf("s-%d", i+1), answer)
+		server, err := w.startServer(fmt.Sprintf("s-%d", i+1), answer)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -23,17 +23,18 @@
 type server struct {
 	id       string
 	address  string
+	world    *world
 	answer   answerFunc
 	arrivals chan int // holds the number of requests so far
 }
 
 // startServer starts a listing server that answers with the given function.
-func startServer(id string, answer answerFunc) (*server, error) {
+func (w *world) startServer(id string, answer answerFunc) (*server, error) {
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, address: listener.Addr().String(), answer: answer, arrivals: make(chan int, 1)}
+	s := &server{id: id, address: listener.Addr().String(), world: w, answer: answer, arrivals: make(chan int, 1)}
 	s.arrivals <- 0
 	go func() { // ends with the process
 		for {
@@ -61,7 +62,9 @@
 		}
 		sequence := <-s.arrivals + 1
 		s.arrivals <- sequence
-		if !s.answer(conn, arrival{id: request.Header.Get("Req-Id"), server: s.id, sequence: sequence}) {
+		id := request.Header.Get("Req-Id")
+		s.world.logf("%s got %s whole", s.id, id)
+		if !s.answer(conn, arrival{id: id, server: s.id, sequence: sequence}) {
 			return
 		}
 	}
