Do not serve an answer that goes on past its Content-Length

Cause: upstream.connection.readBody reads as many bytes as the Content-Length says. Bytes behind them only closed the connection, and those of a long body were left in the socket unseen.

Change: checkExcess looks into the buffer and the socket. Bytes behind an answer fail the attempt (it may have run) unless chunks mark the end or the bytes repeat the answer. A cut body is always followed by its own rest, so that none is served any more.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -14,7 +14,9 @@
 	socket         syscall.RawConn
 	reader         *bufio.Reader
 	remainingBytes int    // number of bytes that may still be read for the current response
-	head           []byte // text of the current response, at least up to the end of its head
+	head           []byte // text received since the request, at least up to the end of the final head
+	headStart      int    // start of the final head in head, after the interim responses
+	headEnd        int    // end of the final head in head
 	idleSince      time.Time
 }
 
@@ -48,11 +50,30 @@
 
 // isStale reports whether the peer has closed the idle connection or has sent unsolicited bytes on it.
 func (c *connection) isStale() bool {
-	isQuiet := false
-	err := c.socket.Control(func(fd uintptr) {
-		var buffer [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isQuiet = errors.Is(err, syscall.EAGAIN)
+	var buffer [1]byte
+	_, err := c.peekSocket(buffer[:])
+	return !errors.Is(err, syscall.EAGAIN) || c.reader.Buffered() > 0
+}
+
+// peekSocket copies bytes from the receive buffer without removing them, and does not wait. Its error is syscall.EAGAIN
+// if there are none. At the end of the stream it returns 0 without an error.
+func (c *connection) peekSocket(buffer []byte) (n int, err error) {
+	controlErr := c.socket.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err != nil || !isQuiet || c.reader.Buffered() > 0
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return max(0, n), err
+}
+
+// peekExcess returns bytes that have arrived behind the response that was read, or some of them. buffer is used for
+// those that are still in the receive buffer.
+func (c *connection) peekExcess(buffer []byte) []byte {
+	if n := c.reader.Buffered(); n > 0 {
+		excess, _ := c.reader.Peek(n) // does not fail, because the bytes are buffered
+		return excess
+	}
+	n, _ := c.peekSocket(buffer) // an error shows when the connection is used again
+	return buffer[:n]
 }
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -18,6 +18,7 @@
 var (
 	errResponseTooLong = errors.New("response is too long")
 	errAmbiguousLength = errors.New("response length is ambiguous")
+	errExcessBytes     = errors.New("response goes on past its Content-Length")
 )
 
 // sendErrorStatus maps an error that occurred before the last byte of a request was written to the status of the
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -15,6 +15,7 @@
 	MaxHeaderBytes = 16 << 10
 
 	maxChunkOverhead = 16 << 10 // bytes that the chunked coding may add to a body
+	maxExcessCompare = 512      // bytes behind a response that are compared with it while they are in the socket
 )
 
 const (
@@ -45,29 +46,65 @@
 	if err != nil {
 		return Result{}, false, err
 	}
+	hasExcess, err := c.checkExcess(response, body)
+	if err != nil {
+		return Result{}, false, err
+	}
 	result.Status = responseStatus(response)
 	result.Usage, result.HasUsage = parseUsage(response.Header[usageHeader])
 	result.Response = Response{ContentType: response.Header["Content-Type"], Body: body}
-	return result, c.canReuseAfter(response), nil
+	return result, !hasExcess && canReuseAfter(response), nil
+}
+
+// checkExcess reports whether bytes have arrived behind a response. They are an error if the response may be
+// incomplete: a body that goes on past its Content-Length looks like a complete one with something behind it. They are
+// no error if the coding or the status marks the end, or if they repeat the response.
+func (c *connection) checkExcess(response *http.Response, body []byte) (hasExcess bool, err error) {
+	var buffer [maxExcessCompare]byte
+	excess := c.peekExcess(buffer[:])
+	isEndMarked := len(response.TransferEncoding) > 0 || endsWithHead(response)
+	if len(excess) > 0 && !isEndMarked && !c.isCopy(excess, body) {
+		return true, errExcessBytes
+	}
+	return len(excess) > 0, nil
+}
+
+// isCopy reports whether excess begins a second copy of the response with the given body. Its status line must be
+// complete, since the end of a body could be taken for a shorter text.
+func (c *connection) isCopy(excess, body []byte) bool {
+	head := c.head[c.headStart:c.headEnd]
+	statusLineLength := bytes.IndexByte(head, '\n') + 1
+	if len(excess) < statusLineLength {
+		return false
+	}
+	headPart := min(len(excess), len(head))
+	bodyPart := min(len(excess)-headPart, len(body))
+	return bytes.Equal(excess[:headPart], head[:headPart]) &&
+		bytes.Equal(excess[headPart:headPart+bodyPart], body[:bodyPart])
 }
 
 // canReuseAfter reports whether a further request may be sent on the connection after a complete response. A response
 // that ends with its head because of its status does not count: what belongs to it may still be on its way.
-func (c *connection) canReuseAfter(response *http.Response) bool {
-	code := response.StatusCode
-	endsWithHead := code == http.StatusNoContent || code == http.StatusNotModified
-	isValid := code >= http.StatusOK && code <= maxStatusCode
-	return isValid && !endsWithHead && !response.Close && c.reader.Buffered() == 0
+func canReuseAfter(response *http.Response) bool {
+	isValid := response.StatusCode >= http.StatusOK && response.StatusCode <= maxStatusCode
+	return isValid && !endsWithHead(response) && !response.Close
+}
+
+// endsWithHead reports whether a response has no body because of its status.
+func endsWithHead(response *http.Response) bool {
+	return response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
 }
 
 // readHead reads the head of the final response and skips interim ones. Status 101 counts as interim: the gateway never
 // asks for another protocol, so the final response follows on the same connection.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
 	for {
+		c.headStart = c.headLength()
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
+		c.headEnd = c.headLength()
 		isInterim := response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK
 		if !isInterim {
 			return response, nil
@@ -80,7 +117,7 @@
 	switch {
 	case length > MaxBodyBytes:
 		return nil, errResponseTooLong
-	case hasAmbiguousLength(response, c.headText()):
+	case hasAmbiguousLength(response, c.head[:c.headEnd]):
 		return nil, errAmbiguousLength
 	case length >= 0:
 		body := make([]byte, length)
@@ -94,9 +131,8 @@
 	return body, err
 }
 
-// headText returns the head of the current response as it was received, after the heads of its interim responses. It is
-// valid until the body is read.
-func (c *connection) headText() []byte { return c.head[:len(c.head)-c.reader.Buffered()] }
+// headLength returns the length of the heads that have been parsed since the request. It is valid until a body is read.
+func (c *connection) headLength() int { return len(c.head) - c.reader.Buffered() }
 
 // hasAmbiguousLength reports whether a response has no length, or both a Content-Length and a Transfer-Encoding field.
 // net/http silently drops the Content-Length in that case, and the Transfer-Encoding of an HTTP/1.0 response, so that
