Bound the memory of request bodies by a budget from the memory limit

Cause: frontend.readBody allocated the stated length as soon as the head was read, and nothing counted these bytes; the number of connections followed from the descriptors alone.

Change: bodies over 4 KiB are read only with memory from a budget (internal/memory). They wait unread for up to 0.5 s; requests that hold memory and have been silent for 0.1 s are evicted meanwhile; then the request is rejected (503). Client connections follow from the memory too. The two copies of the runtime's limit became config.RuntimeMemory, with the same value (0.75).

Why it works: the bytes of long bodies are bounded by the budget whatever clients do, short ones by the number of connections.

Tests whose lists follow: gatewayPackages and node name the new package.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -27,11 +27,6 @@
 	// below the memory limit. Near that limit the collector runs more often regardless of gcPercent.
 	gcPercent = 400
 
-	// heapShare is the fraction of the configured memory limit that the Go runtime may use.
-	heapShare = 0.75
-
-	bytesPerMB = 1 << 20
-
 	// logLevelVariable is the environment variable for the log level. The value "debug" logs the steps of each request
 	// with its id.
 	logLevelVariable = "RELAY_LOG_LEVEL"
@@ -85,8 +80,8 @@
 	slog.Info("configuration loaded", "name", cfg.Name, "endpoints", len(cfg.Known.Servers))
 	runtime.GOMAXPROCS(maxProcs) // has no effect if the environment has set GOMAXPROCS to the same value
 	debug.SetGCPercent(gcPercent)
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB) * bytesPerMB))
+	if limit, ok := cfg.RuntimeMemory(); ok {
+		debug.SetMemoryLimit(limit)
 	}
 	return gateway.Run(ctx, cfg, reload, networkHooks())
 }
--- a/cmd/gateway/main_test.go
+++ b/cmd/gateway/main_test.go
@@ -71,7 +71,12 @@
 // from which the test reads it.
 func startProgramWith(t *testing.T, file string, connectLog func(*exec.Cmd) *os.File) *program {
 	t.Helper()
-	command := exec.Command(os.Args[0])
+	return startCommand(t, exec.Command(os.Args[0]), file, connectLog)
+}
+
+// startCommand is like startProgramWith for any program that is a gateway.
+func startCommand(t *testing.T, command *exec.Cmd, file string, connectLog func(*exec.Cmd) *os.File) *program {
+	t.Helper()
 	command.Env = append(os.Environ(), "RELAY_CONFIG="+file, "RELAY_DISCOVERY=")
 	stderr := connectLog(command)
 	if err := command.Start(); err != nil {
--- a/cmd/springfield/dependencies_test.go
+++ b/cmd/springfield/dependencies_test.go
@@ -19,6 +19,7 @@
 	"springfield/internal/gateway",
 	"springfield/internal/invariant",
 	"springfield/internal/logging",
+	"springfield/internal/memory",
 	"springfield/internal/oserror",
 	"springfield/internal/settings",
 	"springfield/internal/upstream",
--- a/cmd/springfield/gateway_process.go
+++ b/cmd/springfield/gateway_process.go
@@ -18,11 +18,9 @@
 
 // These are the settings of a gateway process. They are the same as in cmd/gateway.
 const (
-	maxProcs          = 1    // GOMAXPROCS
-	gcPercent         = 400  // GOGC
-	heapShare         = 0.75 // fraction of the configured memory limit that the Go runtime may use
-	bytesPerMB        = 1 << 20
-	reloadQueueLength = 1 // one pending reload covers all signals that arrive before it starts
+	maxProcs          = 1   // GOMAXPROCS
+	gcPercent         = 400 // GOGC
+	reloadQueueLength = 1   // one pending reload covers all signals that arrive before it starts
 )
 
 type gatewayProcessCommand struct{}
@@ -40,8 +38,8 @@
 	}
 	runtime.GOMAXPROCS(maxProcs)
 	debug.SetGCPercent(gcPercent)
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(cfg.Limits.MemoryMB) * bytesPerMB))
+	if limit, ok := cfg.RuntimeMemory(); ok {
+		debug.SetMemoryLimit(limit)
 	}
 	return gateway.Run(ctx, cfg, reload, gateway.NetworkHooks{})
 }
--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -14,8 +14,11 @@
 	upstreamShare       = 0.28 // share of the remainder for endpoint connections
 )
 
-// ClientConnections returns the maximum number of open client connections.
-func (c *Config) ClientConnections() int { return c.descriptorShare(clientShare) }
+// ClientConnections returns the maximum number of open client connections, which follows from the descriptors and the
+// memory.
+func (c *Config) ClientConnections() int {
+	return max(1, min(c.descriptorShare(clientShare), c.memoryShare(clientConnectionShare)/clientConnectionBytes))
+}
 
 // UpstreamConnections returns the maximum number of open connections to endpoints.
 func (c *Config) UpstreamConnections() int { return c.descriptorShare(upstreamShare) }
--- /dev/null
+++ b/internal/config/memory.go
@@ -0,0 +1,33 @@
+package config
+
+import "math"
+
+// The shares divide the memory of the process. What they leave covers the resident part of the program's file and the
+// policy's state.
+const (
+	runtimeShare          = 0.75 // of the Go runtime, which contains the shares below
+	clientConnectionShare = 0.30 // of client connections with small messages
+	requestShare          = 0.08 // of large requests
+)
+
+// clientConnectionBytes is the memory of a client connection with a small request and its response: the buffers and the
+// stacks of its goroutines.
+const clientConnectionBytes = 28 << 10
+
+const bytesPerMB = 1 << 20
+
+// RuntimeMemory returns the memory in bytes that the Go runtime may use. ok is false if the memory is not limited.
+func (c *Config) RuntimeMemory() (bytes int64, ok bool) {
+	return int64(c.memoryShare(runtimeShare)), c.Limits.MemoryMB > 0
+}
+
+// RequestMemory returns the memory in bytes for the large requests of all clients together.
+func (c *Config) RequestMemory() int { return c.memoryShare(requestShare) }
+
+// memoryShare returns a share of the memory limit in bytes. Without a limit it is practically infinite.
+func (c *Config) memoryShare(share float64) int {
+	if c.Limits.MemoryMB <= 0 {
+		return math.MaxInt
+	}
+	return int(share * float64(c.Limits.MemoryMB) * bytesPerMB)
+}
--- /dev/null
+++ b/internal/config/memory_test.go
@@ -0,0 +1,30 @@
+package config
+
+import (
+	"math"
+	"testing"
+)
+
+// The connections of clients and their large requests must fit into the memory limit together, also where there are
+// many descriptors for little memory. Clients may hold a third of the descriptors for requests, which must be possible
+// with the least memory and the most descriptors that the operators name.
+func TestMemoryIsSplitWithinLimit(t *testing.T) {
+	for _, limits := range []Limits{
+		{MemoryMB: 32, Sockets: 1024}, {MemoryMB: 192, Sockets: 256}, {MemoryMB: 1, Sockets: 4096},
+	} {
+		c := Config{Limits: limits}
+		runtimeBytes, limited := c.RuntimeMemory()
+		used := c.ClientConnections()*clientConnectionBytes + c.RequestMemory()
+		if !limited || int64(used) >= runtimeBytes || runtimeBytes >= int64(limits.MemoryMB)*bytesPerMB {
+			t.Errorf("%+v: %d bytes for clients, %d for the runtime", limits, used, runtimeBytes)
+		}
+	}
+	least := Config{Limits: Limits{MemoryMB: 32, Sockets: 1024}}
+	if clients := least.ClientConnections(); clients < 1024/3 {
+		t.Errorf("%d connections with the least memory", clients)
+	}
+	var unlimited Config
+	if _, limited := unlimited.RuntimeMemory(); limited || unlimited.RequestMemory() != math.MaxInt {
+		t.Error("a memory limit applies although none is configured")
+	}
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -17,6 +17,7 @@
 	ConnectionAccepted Event = iota
 	AcceptFailed
 	AcceptDelayed      // the connections of clients were at their limit, and a new one had to wait for room
+	MemoryDelayed      // the memory for large requests was in use, and a request had to wait for some
 	CloseEvicted       // a client connection was closed to make room for another
 	CloseDrained       // a client connection was closed because the gateway shuts down
 	CloseByTimeout     // a client connection was idle too long, or a request on it did not complete in time
@@ -40,8 +41,9 @@
 	RequestFailed
 	RequestAbandoned // the client disconnected before the response
 	RequestInvalid
-	RequestEvicted     // an incomplete request was rejected to make room for another connection
-	RequestWithoutRoom // a request was rejected because there was no room for its connection
+	RequestEvicted       // an incomplete request was rejected to make room for another connection
+	RequestWithoutRoom   // a request was rejected because there was no room for its connection
+	RequestWithoutMemory // a request was rejected because there was no memory for it
 	ListPublished
 	WatchEnded
 	eventCount
@@ -49,7 +51,8 @@
 
 var eventNames = [eventCount]string{
 	ConnectionAccepted: "connection_accepted", AcceptFailed: "accept_failed", AcceptDelayed: "accept_delayed",
-	CloseEvicted: "close_evicted", CloseDrained: "close_drained", CloseByTimeout: "close_by_timeout",
+	MemoryDelayed: "memory_delayed",
+	CloseEvicted:  "close_evicted", CloseDrained: "close_drained", CloseByTimeout: "close_by_timeout",
 	CloseClientGone: "close_client_gone", CloseLast: "close_last",
 	AttemptOK: "attempt_ok", AttemptServerError: "attempt_server_error", AttemptRejected: "attempt_rejected",
 	AttemptTimedOut: "attempt_timed_out", AttemptConnectFailed: "attempt_connect_failed",
@@ -60,7 +63,8 @@
 	RequestServed: "request_served", RequestRejected: "request_rejected", RequestFailed: "request_failed",
 	RequestAbandoned: "request_abandoned", RequestInvalid: "request_invalid",
 	RequestEvicted: "request_evicted", RequestWithoutRoom: "request_without_room",
-	ListPublished: "list_published", WatchEnded: "watch_ended",
+	RequestWithoutMemory: "request_without_memory",
+	ListPublished:        "list_published", WatchEnded: "watch_ended",
 }
 
 // String returns the name of the event.
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -26,6 +26,9 @@
 // errRequestEvicted is the error of reading a body that has stalled while connections are short.
 var errRequestEvicted = errors.New("the request was evicted before it was complete")
 
+// errNoMemory is the error of a request whose body got no memory in time.
+var errNoMemory = errors.New("there is no memory for the request")
+
 // connectionState is the state of a client connection, according to the bytes that have been read from it.
 type connectionState uint8
 
@@ -61,6 +64,7 @@
 	closeReason      counters.Event  // event that is counted when a connection in stateClosing is closed
 	stateSince       time.Time       // time of accept, of becoming idle, of the last progress, or of unread bytes
 	readDeadline     time.Time       // last deadline that was set; not applied in stateClosing
+	reservedBytes    int             // memory that is reserved for the current request
 
 	// The goroutine that serves the connection owns the following fields. While a request is open, the background
 	// reader of net/http owns those for reading.
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -10,6 +10,7 @@
 	"springfield/internal/clock"
 	"springfield/internal/eventloop"
 	"springfield/internal/testkit"
+	"springfield/internal/upstream"
 )
 
 // stalledBody is the incomplete body of requests in these tests, and stalledBodyLength the length that they declare.
@@ -194,7 +195,7 @@
 	settings := testkit.Settings(t)
 	server := NewServer(Options{
 		Clock: clock.New(), Engine: noEngine{t: t}, Settings: &settings, MaxConnections: testLimit,
-		LongestDeadline: testkit.Timeout,
+		LongestDeadline: testkit.Timeout, RequestMemory: upstream.MaxBodyBytes,
 	})
 	listener := newTestListener(t)
 	go func() { _ = server.Serve(listener.listener) }() // returns when the server is closed
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -57,6 +57,7 @@
 // connection.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connectionOf(r)
+	defer h.limiter.releaseMemory(conn)
 	receivedAt := h.clock.Now() - conn.queueDelay()
 	framingErr := checkFraming(r, conn.hasTransferEncoding())
 	bodyLength := r.ContentLength
@@ -78,7 +79,11 @@
 	parsed, body, err := h.readRequest(w, r, receivedAt)
 	switch {
 	case errors.Is(err, errRequestEvicted):
-		h.respondEvicted(w, r)
+		counters.Count(counters.RequestEvicted, r.Header.Get("Req-Id"))
+		h.respondIncomplete(w, r)
+	case errors.Is(err, errNoMemory):
+		counters.Count(counters.RequestWithoutMemory, r.Header.Get("Req-Id"))
+		h.respondIncomplete(w, r)
 	case err != nil:
 		h.respondError(w, r, err)
 	case conn != nil && conn.closedByClient(): // before its request was read
@@ -93,13 +98,17 @@
 	}
 }
 
-// readRequest parses the head of a request and reads its body. Its error is errRequestEvicted or a *RequestError.
+// readRequest parses the head of a request and reads its body. Its error is errRequestEvicted, errNoMemory or a
+// *RequestError.
 func (h *handler) readRequest(w http.ResponseWriter, r *http.Request, receivedAt time.Duration) (parsedRequest, []byte,
 	error) {
 	parsed, err := h.parser.parse(r, receivedAt)
 	if err != nil {
 		return parsedRequest{}, nil, err
 	}
+	if !h.limiter.reserveBody(connectionOf(r), int(r.ContentLength), parsed.deadline-h.clock.Now()) {
+		return parsedRequest{}, nil, errNoMemory
+	}
 	body, err := readBody(w, r)
 	return parsed, body, err
 }
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"springfield/internal/counters"
+	"springfield/internal/memory"
 )
 
 // reserveDivisor sets the share of the connections, one in reserveDivisor, that is reserved for new connections. They
@@ -27,10 +28,16 @@
 	limit     int
 	reserve   int                    // number of connections beyond limit that may be open for a short time
 	hasUnread func(*clientConn) bool // (*clientConn).hasUnread, or a wrapper in tests
+	memory    *memory.Budget         // memory for large requests
+
+	maxMemoryWait time.Duration // how long a request waits for the memory of its body
 
 	mu      sync.Mutex
 	conns   map[*clientConn]struct{} // all open connections
 	closing int                      // number of connections in stateClosing and stateRejecting
+
+	memoryWaiters     int  // number of requests that wait for memory
+	evictingForMemory bool // evictForMemory is running
 }
 
 // newConnectionLimiter returns a limiter for maxConnections connections, including the reserve.
@@ -40,7 +47,10 @@
 		limit:     maxConnections - reserve,
 		reserve:   reserve,
 		hasUnread: (*clientConn).hasUnread,
-		conns:     map[*clientConn]struct{}{},
+		memory:    memory.Unlimited(),
+
+		maxMemoryWait: defaultMaxMemoryWait,
+		conns:         map[*clientConn]struct{}{},
 	}
 }
 
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -47,9 +47,8 @@
 	h.respond(w, r, http.StatusServiceUnavailable, upstream.Response{})
 }
 
-// respondEvicted rejects a request whose body is incomplete and closes its connection, to make room for another one.
-func (h *handler) respondEvicted(w http.ResponseWriter, r *http.Request) {
-	counters.Count(counters.RequestEvicted, r.Header.Get("Req-Id"))
+// respondIncomplete rejects a request whose body is incomplete and closes its connection, to make room for another one.
+func (h *handler) respondIncomplete(w http.ResponseWriter, r *http.Request) {
 	w.Header()["Connection"] = connectionClose
 	control := http.NewResponseController(w)
 	// The following calls fail only if the connection is broken, in which case the response is lost as well.
