Forward whole answers without a length

Cause: upstream.hasAmbiguousLength counted a response with neither length nor coding as ambiguous, so that readBody failed before it read the body.

Change: such a body is read to the end of the connection, which is never used again. A reset, a time-out, over 64 KiB, a field that resembles a length and a second copy inside the body remain failed attempts that may have run.

--- a/internal/testkit/server.go
+++ b/internal/testkit/server.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// ReplyThenReset returns a script that reads each request's body, writes the text and resets the connection.
+func ReplyThenReset(text string) Script {
+	return func(conn net.Conn, request *http.Request) bool {
+		// Errors are ignored because the peer may have disconnected, which the test itself has to detect.
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, text)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
 // Flood returns a script that writes the first text once and then the second one repeatedly, until the peer closes the
 // connection.
 func Flood(first, repeated string) Script {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -112,6 +112,8 @@
 	}
 }
 
+// readBody reads the body of a response. A body without a length ends where the endpoint closes the connection; a reset
+// or any other error is no end.
 func (c *connection) readBody(response *http.Response) ([]byte, error) {
 	length := response.ContentLength
 	switch {
@@ -125,26 +127,33 @@
 		return body, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxBodyBytes+1))
-	if err == nil && len(body) > MaxBodyBytes {
-		err = errResponseTooLong
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > MaxBodyBytes:
+		return nil, errResponseTooLong
+	case len(response.TransferEncoding) == 0 && bytes.Contains(body, c.head[c.headStart:c.headEnd]):
+		return nil, errAmbiguousLength // a second copy of the response may follow the first
 	}
-	return body, err
+	return body, nil
 }
 
 // headLength returns the length of the heads that have been parsed since the request. It is valid until a body is read.
 func (c *connection) headLength() int { return len(c.head) - c.reader.Buffered() }
 
-// hasAmbiguousLength reports whether a response has no length, or both a Content-Length and a Transfer-Encoding field.
-// net/http silently drops the Content-Length in that case, and the Transfer-Encoding of an HTTP/1.0 response, so that
-// they show only in the text of the head.
+// hasAmbiguousLength reports whether the head of a response has both a Content-Length and a Transfer-Encoding field, or
+// one of them that net/http has not used. net/http silently drops the Content-Length next to a Transfer-Encoding, and
+// the Transfer-Encoding of an HTTP/1.0 response, so that they show only in the text of the head.
 func hasAmbiguousLength(response *http.Response, head []byte) bool {
 	switch {
 	case len(response.TransferEncoding) > 0:
 		return hasField(head, "content-length")
-	case !response.ProtoAtLeast(1, 1) && hasField(head, "transfer-encoding"):
-		return true
+	case response.ContentLength >= 0 && response.ProtoAtLeast(1, 1):
+		return false
+	case response.ContentLength >= 0:
+		return hasField(head, "transfer-encoding")
 	default:
-		return response.ContentLength < 0
+		return hasField(head, "transfer-encoding") || hasField(head, "content-length")
 	}
 }
 
