Evict clients that stop in the head of a further request

Cause: connectionLimiter.recordRead set stateActive with the first byte of a further head, so that such connections were never evicted, and Accept waited for one of them without a bound.

Change: a further head is in stateReadingHead like a first one: evicted after 0.1 s without a byte if connections are short, with a 503. Time in the accept queue counts as time without progress. Only a whole request can hold a connection now.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -35,9 +35,9 @@
 const (
 	stateAccepted    connectionState = iota // waits for room; no goroutine serves it yet
 	stateNew                                // nothing has been read yet
-	stateReadingHead                        // a part of the first request head has been read
+	stateReadingHead                        // a part of a request head has been read
 	stateReadingBody                        // a head is complete, its body is not
-	stateActive                             // a request is complete, or a part of a further head has been read
+	stateActive                             // a request is complete
 	stateIdle                               // waits for a further request
 	stateClosing                            // its own goroutine closes it unless bytes arrive before that
 	stateRejecting                          // its request is rejected to make room, and then it closes
@@ -63,6 +63,7 @@
 	stateBeforeClose connectionState // state before stateClosing
 	closeReason      counters.Event  // event that is counted when a connection in stateClosing is closed
 	stateSince       time.Time       // time of accept, of becoming idle, of the last progress, or of unread bytes
+	headSince        time.Time       // when the head of a further request began; zero before that
 	readDeadline     time.Time       // last deadline that was set; not applied in stateClosing
 	reservedBytes    int             // memory that is reserved for the current request
 
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -12,15 +12,17 @@
 	minStallAge = 100 * time.Millisecond // while its request is incomplete, also if none has begun
 	minIdleAge  = 2 * time.Second        // after a request
 
-	// maxHeadTime is the time after the accept from which further bytes of the first head are no progress any more.
+	// maxHeadTime is the time after the start of a head from which further bytes of it are no progress any more. The
+	// first head of a connection starts with the accept.
 	maxHeadTime = time.Second
 )
 
-// headRejection is the response to the first request of a connection that is evicted before its head is complete.
+// headRejection is the response to a request whose connection is evicted before its head is complete.
 var headRejection = []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 
-// evict begins to close one connection: the one that has waited for longest for the head of its first request, or else
-// the one that has been idle for longest. It returns false if there is no such connection.
+// evict begins to close one connection: the one that has waited for longest for the head of a request that has begun or
+// for its first request, or else the one that has been idle for longest. It returns false if there is no such
+// connection.
 func (l *connectionLimiter) evict(now time.Time) bool {
 	return l.evictFirst(now, func() *clientConn {
 		if c := l.longestInState(now, minStallAge, stateNew, stateReadingHead); c != nil {
@@ -69,8 +71,11 @@
 // recordProgress notes that bytes of an incomplete request have been read. A connection for which there was no room
 // keeps others waiting, so that nothing counts as its progress. The caller holds l.mu.
 func (l *connectionLimiter) recordProgress(c *clientConn) {
-	now := time.Now()
-	isLateHead := c.state == stateReadingHead && now.Sub(c.acceptedAt) >= maxHeadTime
+	now, headSince := time.Now(), c.headSince
+	if headSince.IsZero() {
+		headSince = c.acceptedAt
+	}
+	isLateHead := c.state == stateReadingHead && now.Sub(headSince) >= maxHeadTime
 	if !c.beyondReserve && !isLateHead {
 		c.stateSince = now
 	}
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -66,11 +66,12 @@
 	return c
 }
 
-// begin is called when a connection is passed on to the goroutine that serves it.
+// begin is called when a connection is passed on to the goroutine that serves it. Its time in the accept queue counts
+// as time without progress.
 func (l *connectionLimiter) begin(c *clientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.state = stateNew
+	c.state, c.stateSince = stateNew, c.acceptedAt
 }
 
 // remove removes a connection that is being closed. It returns false if the connection had been removed before.
@@ -163,8 +164,11 @@
 	case phase == phaseBody:
 		c.state = stateReadingBody
 		l.recordProgress(c)
-	case requestBegan, phase != phaseHead:
+	case phase != phaseHead:
 		c.state = stateActive
+	case requestBegan:
+		c.state, c.headSince = stateReadingHead, time.Now()
+		l.recordProgress(c)
 	case c.state == stateNew, c.state == stateReadingHead:
 		c.state = stateReadingHead
 		l.recordProgress(c)
