Write the rejection of an evicted head without waiting for its client

Their clients may not have read earlier responses, so that the write of the rejection in finishClose could wait for them with the limiter locked, and no other connection would have made progress. No caller has seen it: it was found by reading.

The rejection now goes into the send buffer as far as that has room. TestEvictionDoesNotWaitForReader fails with the old write (timed out after 10 s) and passes with the new one.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -221,6 +221,16 @@
 	return c.TCPConn.Close()
 }
 
+// writeNow writes as much as the send buffer takes, without waiting for a client that does not read.
+func (c *clientConn) writeNow(bytes []byte) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	// An error means that the connection is broken or its client does not read, so that the bytes are lost anyway.
+	_ = raw.Control(func(fd uintptr) { _, _ = syscall.Write(int(fd), bytes) })
+}
+
 // markUnanswered records that a request has been read and must be answered.
 func (c *clientConn) markUnanswered(id string) { c.unansweredID = id }
 
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -124,6 +126,48 @@
 	}
 }
 
+// The eviction of a client that does not read its responses must not wait for it, because the limiter is locked
+// meanwhile and no other connection makes progress.
+func TestEvictionDoesNotWaitForReader(t *testing.T) {
+	listener := newTestListener(t)
+	conn, client := acceptOne(t, listener)
+	makeIdle(t, conn)
+	fillSendBuffer(t, conn)
+	client.WriteText("GET")
+	readSome(t, conn)
+	if !listener.limiter.evict(time.Now().Add(time.Hour)) {
+		t.Fatal("the stalled head was not evicted")
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, bufferSize))
+		ended <- err
+	}()
+	if err := testkit.Receive(t, "the end of the read", ended); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the read ended with %v", err)
+	}
+}
+
+// fillSendBuffer writes to a connection until its client would have to read.
+func fillSendBuffer(t *testing.T, conn *clientConn) {
+	t.Helper()
+	const timeout = 50 * time.Millisecond
+	for chunk := make([]byte, upstream.MaxBodyBytes); len(chunk) > 0; {
+		if err := conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			t.Fatal(err)
+		}
+		switch _, err := conn.Write(chunk); {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			chunk = chunk[:len(chunk)/2]
+		case err != nil:
+			t.Fatal(err)
+		}
+	}
+	if err := conn.SetWriteDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Further bytes must not protect a connection for which there is no room, nor a head that has been incomplete for long.
 // Clients that send a byte now and then would otherwise hold up others.
 func TestProgressIsLimited(t *testing.T) {
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -221,7 +221,7 @@
 		return interruptionRejectsBody
 	}
 	if c.stateBeforeClose == stateReadingHead && c.closeReason == counters.CloseEvicted {
-		_, _ = c.Write(headRejection) // does not block, since nothing was written before
+		c.writeNow(headRejection)
 	}
 	l.removeLocked(c)
 	_ = c.TCPConn.Close() // frees the descriptor even if it returns an error
