Limit the lines of a head and count long heads as memory

Cause: net/http limits the bytes of a head (20 KB) and not its fields, which cost some 200 bytes each once they are parsed.

Change: before net/http gets the bytes, a head over 100 lines is an error (400), and one over 4 KiB needs 32 KiB from the budget of large requests; it waits unread for 0.5 s at most and is evicted or rejected with 503 like a long body.

--- a/cmd/gateway/memory_test.go
+++ b/cmd/gateway/memory_test.go
@@ -30,6 +30,8 @@
 	crowdDuration = 3 * time.Second // time for which bad clients may go without an answer
 	maxBodyBytes  = 64 << 10        // longest body of the protocol
 
+	longFieldBytes = 15 << 10 // a head of this length is still accepted
+
 	memoryPollInterval   = 10 * time.Millisecond
 	ordinaryInterval     = 50 * time.Millisecond // between two requests of ordinary clients
 	endpointLatency      = 200 * time.Millisecond
@@ -39,22 +41,42 @@
 	megabyte = 1 << 20
 )
 
+// shortFields are as many short fields as a head of that length has.
+var shortFields = strings.Repeat("a:\r\n", longFieldBytes/len("a:\r\n"))
+
 // misbehaviors are what the clients of a crowd do on a connection. Each returns once the connection may be closed.
 var misbehaviors = map[string]func(client crowdClient){
 	"stop at the end of a long body": func(c crowdClient) {
-		text := crowdRequest(c.id, c.customer, strings.Repeat("x", maxBodyBytes))
+		text := crowdRequest(c.id, c.customer, "", strings.Repeat("x", maxBodyBytes))
 		c.write(text[:len(text)-1])
 		c.readToEnd()
 	},
 	"write the end of a long body slowly": func(c crowdClient) {
 		const slowBytes = 100
-		text := crowdRequest(c.id, c.customer, strings.Repeat("x", maxBodyBytes))
+		text := crowdRequest(c.id, c.customer, "", strings.Repeat("x", maxBodyBytes))
 		c.write(text[:len(text)-slowBytes])
 		go c.writeSlowly(text[len(text)-slowBytes:])
 		c.readToEnd()
 	},
+	"send heads of many short fields": func(c crowdClient) {
+		c.write(crowdRequest(c.id, c.customer, shortFields, ""))
+		c.readResponse()
+	},
+	"stop in heads of many short fields": func(c crowdClient) {
+		text := crowdRequest(c.id, c.customer, shortFields, "")
+		c.write(text[:len(text)-1])
+		c.readToEnd()
+	},
+	"send long fields": func(c crowdClient) {
+		c.write(crowdRequest(c.id, c.customer, "X: "+strings.Repeat("x", longFieldBytes)+"\r\n", ""))
+		c.readResponse()
+	},
+	"stop in long fields": func(c crowdClient) {
+		c.write("GET / HTTP/1.1\r\nX: " + strings.Repeat("x", longFieldBytes))
+		c.readToEnd()
+	},
 	"send long bodies": func(c crowdClient) {
-		c.write(crowdRequest(c.id, c.customer, strings.Repeat("x", maxBodyBytes)))
+		c.write(crowdRequest(c.id, c.customer, "", strings.Repeat("x", maxBodyBytes)))
 		c.readResponse()
 	},
 }
@@ -155,11 +177,11 @@
 		discovery, leastMemoryMB, mostSockets)
 }
 
-// crowdRequest returns a complete request.
-func crowdRequest(id string, customer int, body string) string {
+// crowdRequest returns a complete request with additional lines in its head.
+func crowdRequest(id string, customer int, lines, body string) string {
 	return fmt.Sprintf("POST /pay/%016x HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nPlan: team\r\nReq-Deadline: %s\r\n"+
-		"Quota-Info: units=1,spread=1,first=0\r\nContent-Length: %d\r\n\r\n%s", customer, id,
-		crowdRequestDeadline, len(body), body)
+		"Quota-Info: units=1,spread=1,first=0\r\nContent-Length: %d\r\n%s\r\n%s", customer, id,
+		crowdRequestDeadline, len(body), lines, body)
 }
 
 // crowdClient is a connection of a client of a crowd. Its reads and writes end with the crowd; their errors do not
@@ -214,7 +236,7 @@
 		if n%longBodyInterval == 0 {
 			body = strings.Repeat("x", longBody)
 		}
-		text := crowdRequest(fmt.Sprint("ordinary-", n), crowdSize+n, body)
+		text := crowdRequest(fmt.Sprint("ordinary-", n), crowdSize+n, "", body)
 		requests.Go(func() {
 			status, err := statusOf(address, text)
 			if err != nil {
--- a/internal/frontend/body_memory_test.go
+++ b/internal/frontend/body_memory_test.go
@@ -10,6 +10,7 @@
 	"springfield/internal/clock"
 	"springfield/internal/config"
 	"springfield/internal/eventloop"
+	"springfield/internal/memory"
 	"springfield/internal/testkit"
 	"springfield/internal/upstream"
 )
@@ -40,8 +41,9 @@
 	go loop.Run(t.Context())
 	server = NewServer(Options{
 		Clock: gatewayClock, Engine: observedLoop{loop, submissions}, Settings: &cfg.Settings,
-		MaxConnections: testLimit, LongestDeadline: cfg.LongestDeadline(), RequestMemory: len(longBody),
+		MaxConnections: testLimit, LongestDeadline: cfg.LongestDeadline(),
 	})
+	server.limiter.memory = memory.NewBudget(len(longBody))
 	server.limiter.maxMemoryWait = testkit.Timeout
 	listener := newTestListener(t)
 	go func() { _ = server.Serve(listener.listener) }() // returns when the server is closed
--- a/internal/frontend/boundary.go
+++ b/internal/frontend/boundary.go
@@ -10,6 +10,8 @@
 // It also looks for a Transfer-Encoding field, which net/http removes from the heads that it reports.
 type requestBoundary struct {
 	phase         readPhase
+	headLength    int   // bytes of the head so far
+	headLines     int   // line ends in the head so far
 	lineLength    int   // length of the current line of the head, without CR and LF
 	nameLength    int   // number of characters at the start of the line that are those of transferEncodingName
 	sawLine       bool  // a non-empty line has been read
@@ -37,7 +39,9 @@
 func (b *requestBoundary) advance(bytes []byte) int {
 	switch b.phase {
 	case phaseHeadComplete: // net/http reads on, so for net/http the head is incomplete
-		*b = requestBoundary{hasTransferEncoding: b.hasTransferEncoding}
+		*b = requestBoundary{
+			headLength: b.headLength, headLines: b.headLines, hasTransferEncoding: b.hasTransferEncoding,
+		}
 		return b.advanceHead(bytes)
 	case phaseHead:
 		return b.advanceHead(bytes)
@@ -54,7 +58,8 @@
 }
 
 // advanceHead looks for the empty line that ends a head. Empty lines before the request line are skipped.
-func (b *requestBoundary) advanceHead(bytes []byte) int {
+func (b *requestBoundary) advanceHead(bytes []byte) (n int) {
+	defer func() { b.headLength += n }()
 	for i, char := range bytes {
 		switch {
 		case char != '\n' && char != '\r':
@@ -63,6 +68,7 @@
 			}
 			b.lineLength++
 		case char == '\n':
+			b.headLines++
 			if b.lineLength == 0 && b.sawLine {
 				b.phase = phaseHeadComplete
 				return i + 1
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -70,6 +70,7 @@
 	// The goroutine that serves the connection owns the following fields. While a request is open, the background
 	// reader of net/http owns those for reading.
 	boundary     requestBoundary
+	headReserved bool           // memory is reserved for the current head
 	headRead     bool           // the current head is complete; one-byte reads are the disconnect detection of net/http
 	headDeadline time.Time      // time limit for the head of a further request; zero if none has begun
 	readAhead    []byte         // bytes that were read from the socket and not passed to net/http yet
@@ -100,6 +101,9 @@
 	if requestBegan {
 		c.limitHeadTime()
 	}
+	if err := c.limitHead(); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
@@ -218,6 +222,7 @@
 	if c.limiter.remove(c) {
 		counters.Count(c.closeEvent, "")
 	}
+	c.limiter.releaseMemory(c)
 	return c.TCPConn.Close()
 }
 
@@ -255,7 +260,7 @@
 // beginIdle is called when a request has been answered and the connection stays open for a further one.
 func (c *clientConn) beginIdle() {
 	c.boundary.beginHead()
-	c.headRead = false
+	c.headRead, c.headReserved = false, false
 	c.headDeadline = time.Time{}
 	c.closeEvent = counters.CloseByTimeout
 	c.limiter.beginIdle(c)
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -244,7 +244,7 @@
 	settings := testkit.Settings(t)
 	server := NewServer(Options{
 		Clock: clock.New(), Engine: noEngine{t: t}, Settings: &settings, MaxConnections: testLimit,
-		LongestDeadline: testkit.Timeout, RequestMemory: upstream.MaxBodyBytes,
+		LongestDeadline: testkit.Timeout,
 	})
 	listener := newTestListener(t)
 	go func() { _ = server.Serve(listener.listener) }() // returns when the server is closed
--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -223,10 +223,15 @@
 	if c.stateBeforeClose == stateReadingHead && c.closeReason == counters.CloseEvicted {
 		c.writeNow(headRejection)
 	}
+	l.closeLocked(c, c.closeReason)
+	return interruptionClosed
+}
+
+// closeLocked closes a connection and counts the reason. The caller holds l.mu.
+func (l *connectionLimiter) closeLocked(c *clientConn, reason counters.Event) {
 	l.removeLocked(c)
 	_ = c.TCPConn.Close() // frees the descriptor even if it returns an error
-	counters.Count(c.closeReason, "")
-	return interruptionClosed
+	counters.Count(reason, "")
 }
 
 // setReadDeadline sets the read deadline of a connection. In stateClosing it only stores the deadline, which
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -10,6 +10,7 @@
 	"springfield/internal/clock"
 	"springfield/internal/memory"
 	"springfield/internal/settings"
+	"springfield/internal/upstream"
 )
 
 const (
@@ -19,14 +20,14 @@
 	maxHeaderBytes = 16 << 10
 )
 
-// Options holds the parameters of a Server. All are required. RequestMemory has to hold one request at least.
+// Options holds the parameters of a Server. All are required.
 type Options struct {
 	Clock           clock.Clock
 	Engine          Engine
 	Settings        *settings.Settings
 	MaxConnections  int           // maximum number of client connections, including those that wait for an eviction
 	LongestDeadline time.Duration // longest deadline of any class
-	RequestMemory   int           // bytes for the large requests of all clients together
+	RequestMemory   int           // bytes for the large requests of all clients together, raised to hold one at least
 }
 
 // Server is the HTTP server that clients connect to.
@@ -40,7 +41,7 @@
 // NewServer returns a server that is not ready. It serves requests but fails health checks until SetReady is called.
 func NewServer(options Options) *Server {
 	limiter := newConnectionLimiter(options.MaxConnections)
-	limiter.memory = memory.NewBudget(options.RequestMemory)
+	limiter.memory = memory.NewBudget(max(options.RequestMemory, upstream.MaxBodyBytes+largeHeadBytes))
 	handler := newHandler(options, limiter)
 	return &Server{
 		http: &http.Server{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,7 @@
 		Settings:        &cfg.Settings,
 		MaxConnections:  cfg.ClientConnections(),
 		LongestDeadline: cfg.LongestDeadline(),
-		RequestMemory:   max(cfg.RequestMemory(), upstream.MaxBodyBytes),
+		RequestMemory:   cfg.RequestMemory(),
 	})
 	return &components{clock: gatewayClock, loop: loop, discovery: discoveryClient, server: server}
 }
