Count long answers as memory and copy no long requests

Cause: upstream.readBody allocated the stated length after the head, connection.Read kept up to 64 KiB of a body beside it in the text of the head, also on idle connections, and Attempt.Do kept an encoded copy of the request until its response was read.

Change: long bodies take their memory from a budget (8% of the limit) once 4 KiB have arrived and wait unread for it until their attempt is aborted; only heads are kept as text; a long body of a request is written from where it is.

Attempt.Do gets the body separately, which the callers in tests follow.

--- a/cmd/gateway/memory_test.go
+++ b/cmd/gateway/memory_test.go
@@ -30,6 +30,9 @@
 	crowdDuration = 3 * time.Second // time for which bad clients may go without an answer
 	maxBodyBytes  = 64 << 10        // longest body of the protocol
 
+	// crowdEndpoints is large enough for attempts on all connections that the gateway may have to endpoints.
+	crowdEndpoints = 100
+
 	longFieldBytes = 15 << 10 // a head of this length is still accepted
 
 	memoryPollInterval   = 10 * time.Millisecond
@@ -44,58 +47,68 @@
 // shortFields are as many short fields as a head of that length has.
 var shortFields = strings.Repeat("a:\r\n", longFieldBytes/len("a:\r\n"))
 
-// misbehaviors are what the clients of a crowd do on a connection. Each returns once the connection may be closed.
-var misbehaviors = map[string]func(client crowdClient){
-	"stop at the end of a long body": func(c crowdClient) {
+// misbehavior is what the clients of a crowd do on their connections.
+type misbehavior struct {
+	act           func(client crowdClient) // returns once the connection may be closed
+	blocksService bool                     // no ordinary request may be served meanwhile
+}
+
+var misbehaviors = map[string]misbehavior{
+	"stop at the end of a long body": {act: func(c crowdClient) {
 		text := crowdRequest(c.id, c.customer, "", strings.Repeat("x", maxBodyBytes))
 		c.write(text[:len(text)-1])
 		c.readToEnd()
-	},
-	"write the end of a long body slowly": func(c crowdClient) {
+	}},
+	"write the end of a long body slowly": {act: func(c crowdClient) {
 		const slowBytes = 100
 		text := crowdRequest(c.id, c.customer, "", strings.Repeat("x", maxBodyBytes))
 		c.write(text[:len(text)-slowBytes])
 		go c.writeSlowly(text[len(text)-slowBytes:])
 		c.readToEnd()
-	},
-	"send heads of many short fields": func(c crowdClient) {
+	}},
+	"send heads of many short fields": {act: func(c crowdClient) {
 		c.write(crowdRequest(c.id, c.customer, shortFields, ""))
 		c.readResponse()
-	},
-	"stop in heads of many short fields": func(c crowdClient) {
+	}},
+	"stop in heads of many short fields": {act: func(c crowdClient) {
 		text := crowdRequest(c.id, c.customer, shortFields, "")
 		c.write(text[:len(text)-1])
 		c.readToEnd()
-	},
-	"send long fields": func(c crowdClient) {
+	}},
+	"send long fields": {act: func(c crowdClient) {
 		c.write(crowdRequest(c.id, c.customer, "X: "+strings.Repeat("x", longFieldBytes)+"\r\n", ""))
 		c.readResponse()
-	},
-	"stop in long fields": func(c crowdClient) {
+	}},
+	"stop in long fields": {act: func(c crowdClient) {
 		c.write("GET / HTTP/1.1\r\nX: " + strings.Repeat("x", longFieldBytes))
 		c.readToEnd()
-	},
-	"send long bodies": func(c crowdClient) {
+	}},
+	"get long answers that stall": {act: func(c crowdClient) {
+		text := crowdRequest(c.id, c.customer, "", "")
+		c.write(strings.Replace(text, " HTTP", "?"+stallQuery+" HTTP", 1))
+		c.readResponse()
+	}, blocksService: true},
+	"send long bodies": {act: func(c crowdClient) {
 		c.write(crowdRequest(c.id, c.customer, "", strings.Repeat("x", maxBodyBytes)))
 		c.readResponse()
-	},
+	}},
 }
 
 // A crowd of clients must not make the gateway exceed its memory limit, which would end the process, and ordinary
 // clients must get their answers meanwhile.
 func TestMemoryStaysWithinLimit(t *testing.T) {
 	program := buildProgram(t)
-	for name, misbehave := range misbehaviors {
-		t.Run(name, func(t *testing.T) { testMemoryStaysWithinLimit(t, program, misbehave) })
+	for name, crowd := range misbehaviors {
+		t.Run(name, func(t *testing.T) { testMemoryStaysWithinLimit(t, program, crowd) })
 	}
 }
 
-func testMemoryStaysWithinLimit(t *testing.T, program string, misbehave func(crowdClient)) {
-	gateway := startBuiltProgram(t, program, writeConfig(t, crowdConfig(startSlowEndpoint(t))))
+func testMemoryStaysWithinLimit(t *testing.T, program string, crowd misbehavior) {
+	gateway := startBuiltProgram(t, program, writeConfig(t, crowdConfig(startCrowdEndpoint(t))))
 	var clients sync.WaitGroup
 	endAt := time.Now().Add(crowdDuration)
 	for i := range crowdSize {
-		clients.Go(func() { runCrowdClient(gateway.address, i, endAt, misbehave) })
+		clients.Go(func() { runCrowdClient(gateway.address, i, endAt, crowd.act) })
 	}
 	statuses := make(chan int, int(crowdDuration/ordinaryInterval)+1)
 	clients.Go(func() { sendOrdinaryRequests(gateway.address, endAt, statuses) })
@@ -121,9 +134,15 @@
 			t.Errorf("%d ordinary requests ended with status %d", counts[status], status)
 		}
 	}
-	if counts[http.StatusOK] == 0 {
+	if counts[http.StatusOK] == 0 && !crowd.blocksService {
 		t.Error("no ordinary request was served")
 	}
+	n := 0
+	testkit.Eventually(t, "a served request after the crowd", func() bool {
+		n++
+		status, _ := statusOf(gateway.address, crowdRequest(fmt.Sprint("after-", n), n, "", ""))
+		return status == http.StatusOK
+	})
 }
 
 // buildProgram builds the gateway and returns its path. The test binary does not take its place, because the race
@@ -152,18 +171,32 @@
 	return p
 }
 
-// startSlowEndpoint starts an endpoint that answers each request after endpointLatency, and a discovery service that
-// lists it. It returns the address of discovery.
-func startSlowEndpoint(t *testing.T) (discovery string) {
+// stallQuery is the query of requests whose answer stalls before its last byte.
+const stallQuery = "stall"
+
+// startCrowdEndpoint starts an endpoint that answers each request after endpointLatency, or with stallQuery begins an
+// answer that it does not finish, and a discovery service that lists it as many endpoints. It returns the address of
+// discovery.
+func startCrowdEndpoint(t *testing.T) (discovery string) {
 	t.Helper()
 	endpoint := listen(t, "127.0.0.1:0")
 	serveHTTP(t, endpoint, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // an error ends the connection
-		time.Sleep(endpointLatency)
-		_, _ = io.WriteString(w, "ok")
+		if r.URL.RawQuery != stallQuery {
+			time.Sleep(endpointLatency)
+			_, _ = io.WriteString(w, "ok")
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(maxBodyBytes))
+		_, _ = io.WriteString(w, strings.Repeat("x", maxBodyBytes-1))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
 	})
 	registry := testkit.NewRegistry(t)
-	registry.SetEntry("s", testkit.EndpointLine("s", endpoint.Addr().String(), "up", 0))
+	for i := range crowdEndpoints {
+		id := fmt.Sprint("s-", i)
+		registry.SetEntry(id, testkit.EndpointLine(id, endpoint.Addr().String(), "up", 0))
+	}
 	return registry.Address()
 }
 
--- a/internal/config/memory.go
+++ b/internal/config/memory.go
@@ -8,6 +8,7 @@
 	runtimeShare          = 0.75 // of the Go runtime, which contains the shares below
 	clientConnectionShare = 0.30 // of client connections with small messages
 	requestShare          = 0.08 // of large requests
+	responseShare         = 0.08 // of large responses
 )
 
 // clientConnectionBytes is the memory of a client connection with a small request and its response: the buffers and the
@@ -24,6 +25,9 @@
 // RequestMemory returns the memory in bytes for the large requests of all clients together.
 func (c *Config) RequestMemory() int { return c.memoryShare(requestShare) }
 
+// ResponseMemory returns the memory in bytes for the large responses of all endpoints together.
+func (c *Config) ResponseMemory() int { return c.memoryShare(responseShare) }
+
 // memoryShare returns a share of the memory limit in bytes. Without a limit it is practically infinite.
 func (c *Config) memoryShare(share float64) int {
 	if c.Limits.MemoryMB <= 0 {
--- a/internal/config/memory_test.go
+++ b/internal/config/memory_test.go
@@ -14,7 +14,7 @@
 	} {
 		c := Config{Limits: limits}
 		runtimeBytes, limited := c.RuntimeMemory()
-		used := c.ClientConnections()*clientConnectionBytes + c.RequestMemory()
+		used := c.ClientConnections()*clientConnectionBytes + c.RequestMemory() + c.ResponseMemory()
 		if !limited || int64(used) >= runtimeBytes || runtimeBytes >= int64(limits.MemoryMB)*bytesPerMB {
 			t.Errorf("%+v: %d bytes for clients, %d for the runtime", limits, used, runtimeBytes)
 		}
--- a/internal/eventloop/shutdown_test.go
+++ b/internal/eventloop/shutdown_test.go
@@ -85,7 +85,7 @@
 	results := make(chan upstream.Result, 1)
 	go func() {
 		request := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "x", Header: http.Header{}}
-		results <- forward.Attempt.Do(request)
+		results <- forward.Attempt.Do(request, nil)
 	}()
 	dialContext := testkit.Receive(t, "the dial", dialContexts)
 
--- a/internal/frontend/disconnect_test.go
+++ b/internal/frontend/disconnect_test.go
@@ -34,7 +34,7 @@
 		endpoint := pool.AddEndpoint(server.Address(), 0)
 		endpoint.SetReady(true)
 		t.Cleanup(endpoint.CloseReplaced)
-		result := upstream.NewAttempt(endpoint, time.Now().Add(testkit.Timeout)).Do(newUpstreamRequest(request, nil))
+		result := upstream.NewAttempt(endpoint, time.Now().Add(testkit.Timeout)).Do(newUpstreamRequest(request), nil)
 		want := policy.StatusOK
 		if disconnected {
 			want = policy.StatusNotSent
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -1,10 +1,8 @@
 package frontend
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 )
 
@@ -20,8 +18,8 @@
 // fallbackHost is the Host of a forwarded request whose client sent none, which HTTP/1.0 allows.
 const fallbackHost = "localhost"
 
-// newUpstreamRequest returns the request that an attempt sends to an endpoint.
-func newUpstreamRequest(r *http.Request, body []byte) *http.Request {
+// newUpstreamRequest returns the request that an attempt sends to an endpoint, without its body.
+func newUpstreamRequest(r *http.Request) *http.Request {
 	header := make(http.Header, upstreamHeaderCapacity)
 	for _, name := range forwardedHeaders {
 		if values := r.Header[name]; values != nil {
@@ -37,10 +35,6 @@
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 	}
-	if len(body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(body))
-		request.ContentLength = int64(len(body))
-	}
 	return request.WithContext(clientContext{Context: r.Context(), conn: connectionOf(r)})
 }
 
--- a/internal/frontend/forward_test.go
+++ b/internal/frontend/forward_test.go
@@ -47,7 +47,7 @@
 	t.Cleanup(endpoint.CloseReplaced)
 
 	attempt := upstream.NewAttempt(endpoint, time.Now().Add(testkit.Timeout))
-	if result := attempt.Do(newUpstreamRequest(request, []byte("name=x"))); result.Status != policy.StatusOK {
+	if result := attempt.Do(newUpstreamRequest(request), []byte("name=x")); result.Status != policy.StatusOK {
 		t.Errorf("the attempt ended with %+v", result)
 	}
 	want := "POST /add%2Daddress/a%20b/0000000000000001?q=%C3%A9&x=a+b origin.svc [9b1f] [5c0f] name=x"
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -142,15 +142,25 @@
 	return nil
 }
 
+// serveAttempt carries out an attempt and reports whether its response was sent to the client.
+func (h *handler) serveAttempt(w http.ResponseWriter, r *http.Request, call *eventloop.Call, attempt *upstream.Attempt,
+	body []byte) bool {
+	result := attempt.Do(newUpstreamRequest(r), body)
+	defer result.Response.Release()
+	h.engine.FinishAttempt(call, result)
+	if result.Status != policy.StatusOK {
+		return false
+	}
+	h.respond(w, r, http.StatusOK, result.Response)
+	return true
+}
+
 // serveCall carries out the commands for a call until the response is sent.
 func (h *handler) serveCall(w http.ResponseWriter, r *http.Request, call *eventloop.Call, body []byte) {
 	for command := range call.Commands() {
 		switch command := command.(type) {
 		case eventloop.Forward:
-			result := command.Attempt.Do(newUpstreamRequest(r, body))
-			h.engine.FinishAttempt(call, result)
-			if result.Status == policy.StatusOK {
-				h.respond(w, r, http.StatusOK, result.Response)
+			if h.serveAttempt(w, r, call, command.Attempt, body) {
 				return
 			}
 		case eventloop.Reject:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 		DialTimeout:    cfg.DialTimeout(),
 		IdleTimeout:    cfg.UpstreamIdleTimeout(),
 		MaxConnections: cfg.UpstreamConnections(),
+		ResponseMemory: cfg.ResponseMemory(),
 	})
 	loop := eventloop.New(gatewayClock, cfg.PolicyConfig(seed), pool)
 	running.Go(func() { loop.Run(ctx) })
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -22,6 +21,7 @@
 	mu          sync.Mutex
 	conn        net.Conn           // set while the request is in flight on it
 	cancelDial  context.CancelFunc // set while a connection is being dialed
+	cancelWait  context.CancelFunc // set while the response waits for memory
 	aborted     bool
 	abortStatus policy.Status
 }
@@ -67,15 +67,18 @@
 	if a.cancelDial != nil {
 		a.cancelDial()
 	}
+	if a.cancelWait != nil {
+		a.cancelWait()
+	}
 	if a.conn != nil {
 		_ = a.conn.SetDeadline(time.Unix(1, 0)) // interrupts pending I/O; fails only on a closed connection
 	}
 }
 
-// Do carries out the attempt, from getting a connection to reading the last byte of the response. It must be called
-// once. It sets the Req-Deadline header of the request. The context of the request must end when the client
-// disconnects.
-func (a *Attempt) Do(request *http.Request) Result {
+// Do carries out the attempt, from getting a connection to reading the last byte of the response, which the caller
+// releases. It must be called once. It sets the Req-Deadline header of the request, whose body is passed separately.
+// The context of the request must end when the client disconnects.
+func (a *Attempt) Do(request *http.Request, body []byte) Result {
 	if a.endpoint == nil || !a.endpoint.ready.Load() {
 		return Result{Status: policy.StatusNotSent}
 	}
@@ -90,7 +93,8 @@
 		return Result{Status: sendErrorStatus(err)}
 	}
 	request.Header["Req-Deadline"] = []string{formatSeconds(time.Until(a.deadline))}
-	if err := request.Write(buffer); err != nil {
+	message, err := encodeRequest(buffer, request, body)
+	if err != nil {
 		a.endpoint.releaseIdle(c)
 		return Result{Status: policy.StatusNotSent}
 	}
@@ -99,28 +103,22 @@
 		a.endpoint.releaseIdle(c)
 		return Result{Status: policy.StatusNotSent}
 	}
-	return a.exchange(c, request, buffer.Bytes())
-}
-
-// requestBuffers holds buffers of type *bytes.Buffer into which requests are encoded.
-var requestBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-
-func formatSeconds(d time.Duration) string {
-	return strconv.FormatFloat(max(0, d.Seconds()), 'f', 3, 64)
+	return a.exchange(c, request, message)
 }
 
 // exchange writes the encoded request and reads its response.
-func (a *Attempt) exchange(c *connection, request *http.Request, encoded []byte) Result {
-	written, err := c.Write(encoded)
-	if written < len(encoded) {
+func (a *Attempt) exchange(c *connection, request *http.Request, message encodedRequest) Result {
+	isWhole, err := message.writeTo(c)
+	if !isWhole {
 		a.stopSending()
 		a.endpoint.pool.closeConnection(c)
 		return Result{Status: sendErrorStatus(err)} // an incomplete request cannot have been executed
 	}
 	var result Result
 	var keepAlive bool
+	memory := &reservation{budget: a.endpoint.pool.responseMemory, attempt: a}
 	if err == nil {
-		result, keepAlive, err = c.readResponse(request)
+		result, keepAlive, err = c.readResponse(request, memory)
 	}
 	aborted, abortStatus := a.stopSending()
 	if err == nil && keepAlive && !aborted {
@@ -128,14 +126,14 @@
 	} else {
 		a.endpoint.pool.closeConnection(c)
 	}
-	switch {
-	case err == nil:
+	if err == nil {
 		return result
-	case aborted:
+	}
+	memory.release()
+	if aborted {
 		return Result{Status: abortStatus}
-	default:
-		return Result{Status: responseErrorStatus(err)}
 	}
+	return Result{Status: responseErrorStatus(err)}
 }
 
 // startSending marks the request as in flight on the connection, or returns the reason why it must no longer be sent.
@@ -225,6 +223,23 @@
 	return a.aborted
 }
 
+// abortContext returns a context that ends when the attempt is aborted. cancel releases it.
+func (a *Attempt) abortContext() (ctx context.Context, cancel context.CancelFunc) {
+	ctx, end := context.WithCancel(context.Background())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancelWait = end
+	if a.aborted {
+		end()
+	}
+	return ctx, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.cancelWait = nil
+		end()
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -19,7 +19,7 @@
 func TestRefusedConnectionReportsConnectFailed(t *testing.T) {
 	server := testkit.NewServer(t, testkit.Silent)
 	server.Stop()
-	result := newTestAttempt(newTestEndpoint(t, server.Address())).Do(newTestRequest())
+	result := newTestAttempt(newTestEndpoint(t, server.Address())).Do(newTestRequest(), nil)
 	if result.Status != policy.StatusConnectFailed {
 		t.Errorf("got %+v, want StatusConnectFailed", result)
 	}
@@ -37,7 +37,7 @@
 	connection := mustConnect(t, endpoint)
 	connection.Conn = shortWriteConn{connection.Conn}
 	endpoint.releaseIdle(connection)
-	if result := newTestAttempt(endpoint).Do(newTestRequest()); result.Status != policy.StatusConnectFailed {
+	if result := newTestAttempt(endpoint).Do(newTestRequest(), nil); result.Status != policy.StatusConnectFailed {
 		t.Errorf("got %+v, want StatusConnectFailed", result)
 	}
 }
@@ -86,7 +86,7 @@
 	}
 	endpoint := newTestEndpointWith(t, server.Address(), Options{Dial: dial})
 	attempt = newTestAttempt(endpoint)
-	result := attempt.Do(newTestRequest())
+	result := attempt.Do(newTestRequest(), nil)
 	if result.Status != policy.StatusOK || string(result.Response.Body) != "ok" || len(endpoint.idle) != 0 {
 		t.Errorf("got %+v with %d idle connections", result, len(endpoint.idle))
 	}
@@ -133,13 +133,13 @@
 		"endpoint not ready": newTestAttempt(endpoint.pool.AddEndpoint(server.Address(), 0)),
 		"aborted":            aborted,
 	} {
-		if result := attempt.Do(newTestRequest()); result.Status != policy.StatusNotSent {
+		if result := attempt.Do(newTestRequest(), nil); result.Status != policy.StatusNotSent {
 			t.Errorf("%s: got %+v, want StatusNotSent", name, result)
 		}
 	}
 	endpoint.releaseIdle(mustConnect(t, endpoint))
 	expired := NewAttempt(endpoint, time.Now())
-	if result := expired.Do(newTestRequest()); result.Status != policy.StatusNotSent || len(endpoint.idle) != 1 {
+	if result := expired.Do(newTestRequest(), nil); result.Status != policy.StatusNotSent || len(endpoint.idle) != 1 {
 		t.Errorf("past the deadline: got %+v with %d idle connections", result, len(endpoint.idle))
 	}
 	if got := server.Requests.Load(); got != 0 {
@@ -163,7 +163,7 @@
 		t.Errorf("refused %v with reason %v", refused, refusal)
 	}
 	endpoint.releaseIdle(connection)
-	result := attempt.Do(newTestRequest())
+	result := attempt.Do(newTestRequest(), nil)
 	if result.Status != policy.StatusNotSent || server.Requests.Load() != 0 || len(endpoint.idle) != 0 {
 		t.Errorf("got %+v with %d requests and %d idle connections", result, server.Requests.Load(), len(endpoint.idle))
 	}
@@ -195,7 +195,7 @@
 	close(release)
 	for range 2 {
 		attempt := newTestAttempt(endpoint)
-		result := attempt.Do(newTestRequest())
+		result := attempt.Do(newTestRequest(), nil)
 		if result.Status != policy.StatusOK || string(result.Response.Body) != "ok" {
 			t.Errorf("after the timeout: got %+v, body %q", result, result.Response.Body)
 		}
@@ -212,7 +212,7 @@
 	endpoint := newTestEndpoint(b, server.Address())
 	b.ReportAllocs()
 	for b.Loop() {
-		if result := newTestAttempt(endpoint).Do(newTestRequest()); result.Status != policy.StatusOK {
+		if result := newTestAttempt(endpoint).Do(newTestRequest(), nil); result.Status != policy.StatusOK {
 			b.Fatalf("got %+v, want StatusOK", result)
 		}
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -8,12 +8,16 @@
 	"time"
 )
 
+// maxKeptHeadBytes is the size up to which an idle connection keeps the memory for the head of the next response.
+const maxKeptHeadBytes = 1 << 10
+
 // connection is one connection to an endpoint. Only one goroutine uses it at a time.
 type connection struct {
 	net.Conn
 	socket         syscall.RawConn
 	reader         *bufio.Reader
 	remainingBytes int    // number of bytes that may still be read for the current response
+	readingHead    bool   // what is read is appended to head
 	head           []byte // text received since the request, at least up to the end of the final head
 	headStart      int    // start of the final head in head, after the interim responses
 	headEnd        int    // end of the final head in head
@@ -42,12 +46,21 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.remainingBytes)])
 	c.remainingBytes -= n
-	if len(c.head) < MaxHeaderBytes {
+	if c.readingHead {
 		c.head = append(c.head, p[:n]...)
 	}
 	return n, err
 }
 
+// forgetHead releases the text of the response that was read, unless it is so short that the next one can use its
+// memory.
+func (c *connection) forgetHead() {
+	c.head = c.head[:0]
+	if cap(c.head) > maxKeptHeadBytes {
+		c.head = nil
+	}
+}
+
 // isStale reports whether the peer has closed the idle connection or has sent unsolicited bytes on it.
 func (c *connection) isStale() bool {
 	var buffer [1]byte
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -14,10 +14,14 @@
 	errNotSyscallConn = errors.New("dialed connection does not implement syscall.Conn")
 )
 
+// errIncompleteHead is the error of a request whose head cannot be encoded.
+var errIncompleteHead = errors.New("the head of the request cannot be encoded")
+
 // Errors that cause a response to be discarded.
 var (
 	errResponseTooLong = errors.New("response is too long")
 	errAmbiguousLength = errors.New("response length is ambiguous")
+	errShortBody       = errors.New("response body is shorter than its length")
 	errExcessBytes     = errors.New("response goes on past its Content-Length")
 )
 
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -45,7 +45,7 @@
 	source := bytes.NewReader(input)
 	c := &connection{Conn: scriptedConn{Reader: source, end: end}, socket: emptySocket{}}
 	c.reader = bufio.NewReader(c)
-	result, keepAlive, err = c.readResponse(newTestRequest())
+	result, keepAlive, err = c.readResponse(newTestRequest(), unlimitedMemory())
 	bytesRead = len(input) - source.Len()
 	return result, keepAlive, input[:bytesRead-c.reader.Buffered()], bytesRead, err
 }
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"springfield/internal/memory"
 	"springfield/internal/testkit"
 )
 
@@ -44,6 +45,9 @@
 	return NewAttempt(endpoint, time.Now().Add(testkit.Timeout))
 }
 
+// unlimitedMemory returns a reservation that never waits.
+func unlimitedMemory() *reservation { return &reservation{budget: memory.Unlimited()} }
+
 func newTestRequest() *http.Request {
 	return &http.Request{
 		Method:     http.MethodGet,
@@ -58,7 +62,7 @@
 // startAttempt carries out the attempt in a new goroutine.
 func startAttempt(attempt *Attempt, request *http.Request) <-chan Result {
 	results := make(chan Result, 1)
-	go func() { results <- attempt.Do(request) }()
+	go func() { results <- attempt.Do(request, nil) }()
 	return results
 }
 
--- a/internal/upstream/local_errors_test.go
+++ b/internal/upstream/local_errors_test.go
@@ -33,7 +33,7 @@
 func TestLocalConnectErrorIsNotAttributedToEndpoint(t *testing.T) {
 	status := func(errno syscall.Errno) policy.Status {
 		endpoint := newTestEndpointWith(t, "127.0.0.1:1", Options{Dial: newFailingDialer(errno)})
-		return newTestAttempt(endpoint).Do(newTestRequest()).Status
+		return newTestAttempt(endpoint).Do(newTestRequest(), nil).Status
 	}
 	for _, errno := range localErrors {
 		if got := status(errno); got == policy.StatusConnectFailed {
@@ -64,7 +64,7 @@
 		connection := mustConnect(t, endpoint)
 		connection.Conn = failingWriteConn{connection.Conn, errno}
 		endpoint.releaseIdle(connection)
-		if got := newTestAttempt(endpoint).Do(newTestRequest()).Status; got == policy.StatusConnectFailed {
+		if got := newTestAttempt(endpoint).Do(newTestRequest(), nil).Status; got == policy.StatusConnectFailed {
 			t.Errorf("%v is attributed to the endpoint", errno)
 		}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"springfield/internal/memory"
 )
 
 // sweepInterval is the interval between searches for idle connections to close.
@@ -29,6 +31,7 @@
 	DialTimeout    time.Duration
 	IdleTimeout    time.Duration // connections that are idle for longer are closed
 	MaxConnections int           // limit for all endpoints together
+	ResponseMemory int           // bytes for the long responses of all attempts together, raised to hold one at least
 }
 
 // Pool holds the connections to the endpoints.
@@ -38,6 +41,7 @@
 	idleTimeout     time.Duration
 	reuseDelay      time.Duration
 	maxConnections  int64
+	responseMemory  *memory.Budget
 	openConnections atomic.Int64 // includes connections that are being dialed
 
 	mu        sync.Mutex
@@ -52,6 +56,7 @@
 		idleTimeout:    options.IdleTimeout,
 		reuseDelay:     defaultReuseDelay,
 		maxConnections: int64(options.MaxConnections),
+		responseMemory: memory.NewBudget(max(options.ResponseMemory, MaxBodyBytes+1)),
 		endpoints:      map[*Endpoint]struct{}{},
 	}
 	if p.dial == nil {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -19,7 +19,7 @@
 	server := testkit.NewServer(t, testkit.Reply(testkit.ResponseOK, false)) // offers keep-alive but closes
 	endpoint := newTestEndpoint(t, server.Address())
 	for range 3 {
-		if result := newTestAttempt(endpoint).Do(newTestRequest()); result.Status != policy.StatusOK {
+		if result := newTestAttempt(endpoint).Do(newTestRequest(), nil); result.Status != policy.StatusOK {
 			t.Fatalf("got %+v, want StatusOK", result)
 		}
 		testkit.Eventually(t, "the end of the idle connection", endpoint.idle[0].isStale)
@@ -36,7 +36,7 @@
 	server := testkit.NewServer(t, testkit.Reply(testkit.ResponseOK, true))
 	endpoint := newTestEndpoint(t, server.Address())
 	for range 3 {
-		newTestAttempt(endpoint).Do(newTestRequest())
+		newTestAttempt(endpoint).Do(newTestRequest(), nil)
 	}
 	endpoint.pool.sweep(time.Now())
 	if server.Connections.Load() != 1 || len(endpoint.idle) != 1 {
@@ -128,15 +128,15 @@
 	endpoint := newTestEndpoint(t, server.Address())
 	endpoint.pool.reuseDelay = time.Hour
 	for range 3 {
-		result := newTestAttempt(endpoint).Do(newTestRequest())
+		result := newTestAttempt(endpoint).Do(newTestRequest(), nil)
 		if result.Status != policy.StatusOK || string(result.Response.Body) != "ok" {
 			t.Errorf("got %+v, body %q", result, result.Response.Body)
 		}
 	}
 	testkit.Eventually(t, "the late response", endpoint.idle[0].isStale)
 	endpoint.pool.reuseDelay = 0
-	newTestAttempt(endpoint).Do(newTestRequest())
-	newTestAttempt(endpoint).Do(newTestRequest())
+	newTestAttempt(endpoint).Do(newTestRequest(), nil)
+	newTestAttempt(endpoint).Do(newTestRequest(), nil)
 	if got := server.Connections.Load(); got != 3 {
 		t.Errorf("got %d connections, want 3: connections past the reuse delay are reused", got)
 	}
@@ -157,7 +157,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { endpoint.pool.Run(ctx); close(ended) }()
-	if result := newTestAttempt(endpoint).Do(newTestRequest()); result.Status != policy.StatusOK {
+	if result := newTestAttempt(endpoint).Do(newTestRequest(), nil); result.Status != policy.StatusOK {
 		t.Fatalf("got %+v, want StatusOK", result)
 	}
 	testkit.Eventually(t, "the closed connection", func() bool { return endpoint.pool.openConnections.Load() == 0 })
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 	MaxHeaderBytes = 16 << 10
 
 	maxChunkOverhead = 16 << 10 // bytes that the chunked coding may add to a body
+	smallBodyBytes   = 4 << 10  // length up to which a body needs no reservation of memory
 	maxExcessCompare = 512      // bytes behind a response that are compared with it while they are in the socket
 )
 
@@ -27,22 +29,34 @@
 	maxUsagePercent = 1e6
 )
 
-// Response is the part of an upstream response that is passed on to the client.
+// Response is the part of an upstream response that is passed on to the client. Its user calls Release.
 type Response struct {
 	ContentType []string
 	Body        []byte
+
+	memory *reservation // of the body
+}
+
+// Release returns the memory of the body, which must not be used any more.
+func (r *Response) Release() {
+	r.Body = nil
+	if r.memory != nil {
+		r.memory.release()
+	}
 }
 
 // readResponse reads the complete response and reports whether the connection can be reused. A response with an
-// ambiguous end is an error, because it may be a part of another response; the request may have been executed.
-func (c *connection) readResponse(request *http.Request) (result Result, keepAlive bool, err error) {
-	c.remainingBytes, c.head = MaxHeaderBytes, c.head[:0]
+// ambiguous end is an error, because it may be a part of another response; the request may have been executed. Long
+// bodies are reserved in memory, which the caller releases.
+func (c *connection) readResponse(request *http.Request, memory *reservation) (result Result, keepAlive bool,
+	err error) {
+	defer c.forgetHead()
 	response, err := c.readHead(request)
 	if err != nil {
 		return Result{}, false, err
 	}
 	c.remainingBytes = MaxBodyBytes + maxChunkOverhead
-	body, err := c.readBody(response)
+	body, err := c.readBody(response, memory)
 	if err != nil {
 		return Result{}, false, err
 	}
@@ -52,7 +66,7 @@
 	}
 	result.Status = responseStatus(response)
 	result.Usage, result.HasUsage = parseUsage(response.Header[usageHeader])
-	result.Response = Response{ContentType: response.Header["Content-Type"], Body: body}
+	result.Response = Response{ContentType: response.Header["Content-Type"], Body: body, memory: memory}
 	return result, !hasExcess && canReuseAfter(response), nil
 }
 
@@ -98,6 +112,8 @@
 // readHead reads the head of the final response and skips interim ones. Status 101 counts as interim: the gateway never
 // asks for another protocol, so the final response follows on the same connection.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.remainingBytes, c.readingHead = MaxHeaderBytes, true
+	defer func() { c.readingHead = false }()
 	for {
 		c.headStart = c.headLength()
 		response, err := http.ReadResponse(c.reader, request)
@@ -114,7 +130,7 @@
 
 // readBody reads the body of a response. A body without a length ends where the endpoint closes the connection; a reset
 // or any other error is no end.
-func (c *connection) readBody(response *http.Response) ([]byte, error) {
+func (c *connection) readBody(response *http.Response, memory *reservation) ([]byte, error) {
 	length := response.ContentLength
 	switch {
 	case length > MaxBodyBytes:
@@ -122,22 +138,55 @@
 	case hasAmbiguousLength(response, c.head[:c.headEnd]):
 		return nil, errAmbiguousLength
 	case length >= 0:
-		body := make([]byte, length)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
+		return readBytes(response.Body, int(length), memory)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxBodyBytes+1))
+	body, err := readBytes(response.Body, MaxBodyBytes+1, memory)
 	switch {
-	case err != nil:
-		return nil, err
-	case len(body) > MaxBodyBytes:
+	case err == nil:
 		return nil, errResponseTooLong
+	case !errors.Is(err, errShortBody):
+		return nil, err
 	case len(response.TransferEncoding) == 0 && bytes.Contains(body, c.head[c.headStart:c.headEnd]):
 		return nil, errAmbiguousLength // a second copy of the response may follow the first
 	}
 	return body, nil
 }
 
+// readBytes reads the given number of bytes. If the body ends before, it returns what it has read and errShortBody.
+// Memory for a long body is reserved and allocated once more than smallBodyBytes have arrived, so that an endpoint that
+// stops after a head takes none.
+func readBytes(body io.Reader, length int, memory *reservation) ([]byte, error) {
+	buffer := make([]byte, min(length, smallBodyBytes))
+	n, err := readFull(body, buffer)
+	if err != nil || n == length {
+		return buffer[:n], err
+	}
+	if err := memory.reserve(length); err != nil {
+		return nil, err
+	}
+	whole := make([]byte, length)
+	copy(whole, buffer)
+	read, err := readFull(body, whole[n:])
+	return whole[:n+read], err
+}
+
+// readFull fills the buffer. Its error is errShortBody if the body ends before. io.ReadFull is not used because its
+// io.ErrUnexpectedEOF is also the error of a body that is cut off.
+func readFull(body io.Reader, buffer []byte) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var read int
+		read, err = body.Read(buffer[n:])
+		n += read
+	}
+	if n < len(buffer) && errors.Is(err, io.EOF) {
+		return n, errShortBody
+	}
+	if n == len(buffer) {
+		return n, nil
+	}
+	return n, err
+}
+
 // headLength returns the length of the heads that have been parsed since the request. It is valid until a body is read.
 func (c *connection) headLength() int { return len(c.head) - c.reader.Buffered() }
 
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -107,7 +107,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			endpoint := newTestEndpoint(t, testkit.NewServer(t, c.script).Address())
-			result := newTestAttempt(endpoint).Do(newTestRequest())
+			result := newTestAttempt(endpoint).Do(newTestRequest(), nil)
 			if result.Status != c.want {
 				t.Errorf("got %+v, want status %d", result, c.want)
 			}
@@ -129,7 +129,7 @@
 	for _, stated := range []int{0, 8, bufferSize, 10 * bufferSize} {
 		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", stated, strings.Repeat("x", stated+1))
 		endpoint := newTestEndpoint(t, testkit.NewServer(t, testkit.Reply(text, true)).Address())
-		if result := newTestAttempt(endpoint).Do(newTestRequest()); result.Status != policy.StatusReset {
+		if result := newTestAttempt(endpoint).Do(newTestRequest(), nil); result.Status != policy.StatusReset {
 			t.Errorf("stated length %d: got status %d with %d bytes", stated, result.Status, len(result.Response.Body))
 		}
 		if open := endpoint.pool.openConnections.Load(); open != 0 {
@@ -248,7 +248,7 @@
 			if err := request.Write(connection.Conn); err != nil {
 				t.Fatal(err)
 			}
-			if _, keepAlive, err := connection.readResponse(request); keepAlive || !errors.Is(err, c.want) {
+			if _, keepAlive, err := connection.readResponse(request, unlimitedMemory()); keepAlive || !errors.Is(err, c.want) {
 				t.Errorf("got keepAlive %v and error %v, want error %v", keepAlive, err, c.want)
 			}
 		})
@@ -260,7 +260,7 @@
 	for text, want := range map[string]float64{"86": 0.86, "0": 0, "x": -1, "NaN": -1, "-4": -1} {
 		reply := "HTTP/1.1 500 X\r\nUsage-Percent: " + text + "\r\nContent-Length: 0\r\n\r\n"
 		server := testkit.NewServer(t, testkit.Reply(reply, true))
-		result := newTestAttempt(newTestEndpoint(t, server.Address())).Do(newTestRequest())
+		result := newTestAttempt(newTestEndpoint(t, server.Address())).Do(newTestRequest(), nil)
 		if result.HasUsage != (want >= 0) || result.HasUsage && result.Usage != want {
 			t.Errorf("usage %q: got %+v", text, result)
 		}
