Remove the timers of finished attempts before they are due

Seen in trials: while eight clients sent small requests at full speed for 12 s, the live heap grew to 10 to 12 MB (timers and customers together).

Cause: the event loop discarded a timer that was no longer pending only when it was the next one, so that the timeouts of finished attempts stayed for up to the longest deadline.

Change: once there may be as many such timers as pending ones they are removed together, at a constant cost for each timer.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -35,6 +35,7 @@
 	lastRequestID    policy.RequestID
 	endpoints        map[policy.EndpointID]*upstream.Endpoint
 	timers           timerQueue
+	compactTimersAt  int           // number of timers at which they are compacted
 	now              time.Duration // when the current event was received
 	shutdownDeadline time.Duration // time by which every call must end; 0 if no shutdown has begun
 }
--- a/internal/eventloop/timers.go
+++ b/internal/eventloop/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"springfield/policy"
@@ -15,9 +16,24 @@
 	engine  policy.Timer // the engine's value for the timer; used only if attempt is nil
 }
 
+// minTimersToCompact is the number of timers below which those that are no longer pending are not looked for.
+const minTimersToCompact = 256
+
+// compactTimers removes the timers that are no longer pending once there may be as many of them as pending ones. Most
+// attempts finish long before their timeouts, whose timers would otherwise take up memory until then.
+func (l *Loop) compactTimers() {
+	if len(l.timers) < l.compactTimersAt {
+		return
+	}
+	l.timers = slices.DeleteFunc(l.timers, func(t *timer) bool { return !l.isPending(t) })
+	heap.Init(&l.timers)
+	l.compactTimersAt = max(minTimersToCompact, 2*len(l.timers))
+}
+
 // nextTimer returns when the next pending timer is due. It discards timers that are no longer pending: most attempts
 // finish before their timeout, and discarding their timers avoids many wake-ups of the event loop.
 func (l *Loop) nextTimer() (dueAt time.Duration, ok bool) {
+	l.compactTimers()
 	for len(l.timers) > 0 {
 		if l.isPending(l.timers[0]) {
 			return l.timers[0].dueAt, true
