Bound the customers that the policy remembers while they are idle

Change: Config.MaxCustomers (from the memory limit; 0, as for the simulator, is unlimited). Beyond 5/4 of it idle customers are evicted together, first those without a forwarded request, so that a flood of names cannot displace customers with usage. Open requests and a ceiling that is not full keep a customer.

Tests: TestCustomersAreBounded, TestFloodOfNamesDoesNotEvictUsage, TestOldestIdleCustomersAreEvicted use the new limit, which the old code does not have.

--- a/internal/config/memory.go
+++ b/internal/config/memory.go
@@ -9,8 +9,12 @@
 	clientConnectionShare = 0.30 // of client connections with small messages
 	requestShare          = 0.08 // of large requests
 	responseShare         = 0.08 // of large responses
+	customerShare         = 0.05 // of the customers that the policy remembers
 )
 
+// customerBytes is the memory of a customer in the policy, with its entries in the map and the list of all customers.
+const customerBytes = 400
+
 // clientConnectionBytes is the memory of a client connection with a small request and its response: the buffers and the
 // stacks of its goroutines.
 const clientConnectionBytes = 28 << 10
@@ -28,6 +32,14 @@
 // ResponseMemory returns the memory in bytes for the large responses of all endpoints together.
 func (c *Config) ResponseMemory() int { return c.memoryShare(responseShare) }
 
+// maxCustomers returns the number of idle customers that the policy may remember, or 0 if the memory is not limited.
+func (c *Config) maxCustomers() int {
+	if c.Limits.MemoryMB <= 0 {
+		return 0
+	}
+	return c.memoryShare(customerShare) / customerBytes
+}
+
 // memoryShare returns a share of the memory limit in bytes. Without a limit it is practically infinite.
 func (c *Config) memoryShare(share float64) int {
 	if c.Limits.MemoryMB <= 0 {
--- a/internal/config/memory_test.go
+++ b/internal/config/memory_test.go
@@ -14,7 +14,9 @@
 	} {
 		c := Config{Limits: limits}
 		runtimeBytes, limited := c.RuntimeMemory()
-		used := c.ClientConnections()*clientConnectionBytes + c.RequestMemory() + c.ResponseMemory()
+		customers := c.PolicyConfig(0).MaxCustomers
+		used := c.ClientConnections()*clientConnectionBytes + c.RequestMemory() + c.ResponseMemory() +
+			customers*customerBytes
 		if !limited || int64(used) >= runtimeBytes || runtimeBytes >= int64(limits.MemoryMB)*bytesPerMB {
 			t.Errorf("%+v: %d bytes for clients, %d for the runtime", limits, used, runtimeBytes)
 		}
@@ -23,8 +25,12 @@
 	if clients := least.ClientConnections(); clients < 1024/3 {
 		t.Errorf("%d connections with the least memory", clients)
 	}
+	if customers := least.PolicyConfig(0).MaxCustomers; customers < 1024 {
+		t.Errorf("%d customers with the least memory", customers)
+	}
 	var unlimited Config
-	if _, limited := unlimited.RuntimeMemory(); limited || unlimited.RequestMemory() != math.MaxInt {
+	if _, limited := unlimited.RuntimeMemory(); limited || unlimited.RequestMemory() != math.MaxInt ||
+		unlimited.PolicyConfig(0).MaxCustomers != 0 {
 		t.Error("a memory limit applies although none is configured")
 	}
 }
--- a/internal/config/timeouts.go
+++ b/internal/config/timeouts.go
@@ -56,5 +56,6 @@
 		class := &config.Classes[i]
 		class.KeyTTL = max(0, class.KeyTTL-c.DialTimeout()-maxForwardDelay)
 	}
+	config.MaxCustomers = c.maxCustomers()
 	return config
 }
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -165,7 +165,7 @@
 	ep.warmUpBucket.tokens -= r.Units // not used once the endpoint is warm
 	if !r.forwarded {
 		r.forwarded = true
-		r.customer.active = true
+		r.customer.active, r.customer.wasForwarded = true, true
 		r.customer.openRequests++
 		r.customer.recentUnits += r.Units
 	}
--- a/policy/customer.go
+++ b/policy/customer.go
@@ -36,12 +36,18 @@
 	lastReleaseAt  time.Duration // time at which the last delayed request leaves the queue
 	openRequests   int           // requests forwarded and not finished
 	queuedRequests int           // requests in the queue
+	wasForwarded   bool          // a request was forwarded, so that there is usage to remember
 }
 
+// customerExcessDivisor is the excess over Config.MaxCustomers, one in customerExcessDivisor, at which
+// customers are evicted together. This keeps the cost of each new customer constant.
+const customerExcessDivisor = 4
+
 // customerFor returns the customer of a request. A new customer starts with full quota buckets.
 func (e *Engine) customerFor(now time.Duration, req *Request) *customer {
 	c := e.customers[req.Customer]
 	if c == nil {
+		e.evictExcessCustomers()
 		c = e.newCustomer(now, req)
 		e.customers[req.Customer] = c
 		e.customerList = append(e.customerList, c)
@@ -74,3 +80,40 @@
 	c.gatewayBucket.tokens = e.gatewayBurst(c)
 	return c
 }
+
+// evictExcessCustomers evicts idle customers once there are too many, so that a client that sends requests
+// under ever new names takes a bounded amount of memory. Customers without a forwarded request go first: they
+// have no usage, and a flood of names consists of them.
+func (e *Engine) evictExcessCustomers() {
+	limit := e.cfg.MaxCustomers
+	if limit <= 0 || len(e.customerList) < limit+limit/customerExcessDivisor {
+		return
+	}
+	excess := e.evictCustomers(len(e.customerList)-limit, func(c *customer) bool { return !c.wasForwarded })
+	e.evictCustomers(excess, func(*customer) bool { return true })
+}
+
+// evictCustomers evicts idle customers for which mayEvict holds, in order of arrival. It returns how many of
+// the given number are left.
+func (e *Engine) evictCustomers(count int, mayEvict func(*customer) bool) (left int) {
+	kept := e.customerList[:0]
+	for _, c := range e.customerList {
+		if count > 0 && c.isIdle() && mayEvict(c) {
+			count--
+			delete(e.customers, c.id)
+			e.bandwidth.totalQuota -= c.plan.QuotaRate
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(e.customerList[len(kept):])
+	e.customerList = kept
+	return count
+}
+
+// isIdle reports whether a customer has no open request and a full ceiling bucket. An evicted customer may
+// return with a full one.
+func (c *customer) isIdle() bool {
+	ceilingFull := c.plan.CeilingRate <= 0 || c.ceilingBucket.tokens >= c.ceilingCapacity()
+	return c.openRequests == 0 && c.queuedRequests == 0 && ceilingFull
+}
--- a/policy/pacing.go
+++ b/policy/pacing.go
@@ -52,10 +52,8 @@
 			periods := min(1, elapsed.Seconds()/max(e.cfg.MeterPeriod, bandwidthManagerPeriod).Seconds())
 			c.avgUsage -= usageSmoothing * c.avgUsage * periods
 		}
-		// An evicted customer may return with a full ceiling bucket, so the bucket must be full at its eviction.
-		ceilingFull := c.plan.CeilingRate <= 0 || c.ceilingBucket.tokens >= c.ceilingCapacity()
-		idle := c.openRequests == 0 && c.queuedRequests == 0 && ceilingFull && now-c.lastSeen > e.cfg.WarmUpDuration
-		if idle && c.avgUsage <= maxEvictedUsageShare*c.plan.QuotaRate {
+		isForgotten := c.isIdle() && now-c.lastSeen > e.cfg.WarmUpDuration
+		if isForgotten && c.avgUsage <= maxEvictedUsageShare*c.plan.QuotaRate {
 			delete(e.customers, c.id)
 			continue
 		}
--- a/policy/types.go
+++ b/policy/types.go
@@ -66,6 +66,7 @@
 	CanCancel       bool          // the engine may use Actions.CancelAttempt
 	MaxAttempts     int           // most attempts of one request; 0: unlimited
 	MaxOpenRequests int           // most requests without a final answer at this gateway; 0: unlimited
+	MaxCustomers    int           // customers that are remembered although they are idle; 0: unlimited
 	SendRetryAfter  bool          // clients receive the Retry-After of a rejection
 	MaxRetryAfter   time.Duration // longest Retry-After that clients follow
 	PolledEndpoints bool          // endpoint updates arrive only after Actions.WatchEndpoints
