Count the time in the accept queue not as a stall of the connection

Cause: also counted the time in the accept queue as time without progress. Silent connections then made room at once, and idle ones, which stay for 2 s, took it, so that no room was left for the requests.

--- a/internal/frontend/limiter.go
+++ b/internal/frontend/limiter.go
@@ -66,12 +66,11 @@
 	return c
 }
 
-// begin is called when a connection is passed on to the goroutine that serves it. Its time in the accept queue counts
-// as time without progress.
+// begin is called when a connection is passed on to the goroutine that serves it.
 func (l *connectionLimiter) begin(c *clientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.state, c.stateSince = stateNew, c.acceptedAt
+	c.state = stateNew
 }
 
 // remove removes a connection that is being closed. It returns false if the connection had been removed before.
