Replace the endpoint at whose address another process has started

Reported by operators of other deployments: a new process at the address of a gone one was taken for it; work went to the wrong place or ran twice.

Cause: eventloop.updateEndpoint knew endpoints by their ids alone. Discovery may tell a new one seconds before the removal of the one whose address it has; both were used meanwhile, so that the new process got the load of a warm one.

Change: the loop remembers for each address the endpoint with the latest start. The policy ignores removals of endpoints that it does not know, which left entries behind.

Not tried with real processes.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -34,6 +34,7 @@
 	calls            map[policy.RequestID]*Call // open calls
 	lastRequestID    policy.RequestID
 	endpoints        map[policy.EndpointID]*upstream.Endpoint
+	holders          map[string]addressHolder // by address
 	timers           timerQueue
 	compactTimersAt  int           // number of timers at which they are compacted
 	now              time.Duration // when the current event was received
@@ -50,6 +51,7 @@
 		stopped:   make(chan struct{}),
 		calls:     map[policy.RequestID]*Call{},
 		endpoints: map[policy.EndpointID]*upstream.Endpoint{},
+		holders:   map[string]addressHolder{},
 		classes:   config.Classes,
 	}
 	l.engine = policy.New(config, actions{l})
--- a/internal/eventloop/shutdown_test.go
+++ b/internal/eventloop/shutdown_test.go
@@ -63,6 +63,11 @@
 	(<-l.events).apply(l)
 }
 
+// newEmptyRequest returns a request that an attempt can send.
+func newEmptyRequest() *http.Request {
+	return &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "x", Header: http.Header{}}
+}
+
 // submitAt submits a call that must not be repeated once it may have been executed.
 func submitAt(loop *Loop, at time.Duration) *Call {
 	call := NewCall("a", policy.Request{Class: payClass, Units: 1, SetSize: 1}, at+8*time.Second)
@@ -84,8 +89,7 @@
 	}
 	results := make(chan upstream.Result, 1)
 	go func() {
-		request := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "x", Header: http.Header{}}
-		results <- forward.Attempt.Do(request, nil)
+		results <- forward.Attempt.Do(newEmptyRequest(), nil)
 	}()
 	dialContext := testkit.Receive(t, "the dial", dialContexts)
 
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -71,6 +71,9 @@
 // updateEndpoint applies one entry of the endpoint list.
 func (e *Engine) updateEndpoint(now time.Duration, entry Endpoint) {
 	ep, known := e.endpoints[entry.ID]
+	if !known && entry.State == StateRemoved {
+		return
+	}
 	if !known {
 		rank, limit := rand.NewPCG(uint64(entry.ID), uint64(e.cfg.GatewayIndex)).Uint64(),
 			max(1, e.initialLimitShare())
