Remember the ids of sent requests that must not run twice

Reported by operators of other deployments: an id ran twice when it came again after its client had left.

Cause: frontend.openRequests knows an id only while its request is open.

Change: ids of requests that must not run twice are remembered from their first attempt that may have run, as hashes in two sets that rotate with the longest deadline and 5 s, or when they are full (2% of the memory limit). Such a request gets 409 like one whose id is open. Status.NeverExecuted of the policy is exported for that.

--- a/internal/config/memory.go
+++ b/internal/config/memory.go
@@ -10,6 +10,7 @@
 	requestShare          = 0.08 // of large requests
 	responseShare         = 0.08 // of large responses
 	customerShare         = 0.05 // of the customers that the policy remembers
+	sentRequestShare      = 0.02 // of the IDs of requests that were sent
 )
 
 // customerBytes is the memory of a customer in the policy, with its entries in the map and the list of all customers.
@@ -19,6 +20,14 @@
 // stacks of its goroutines.
 const clientConnectionBytes = 28 << 10
 
+const (
+	// sentRequestBytes is the memory of an ID in the two sets that hold the latest ones.
+	sentRequestBytes = 2 * 32
+
+	// maxSentRequests is the number of IDs to remember where the memory is not limited.
+	maxSentRequests = 1 << 20
+)
+
 const bytesPerMB = 1 << 20
 
 // RuntimeMemory returns the memory in bytes that the Go runtime may use. ok is false if the memory is not limited.
@@ -32,6 +41,11 @@
 // ResponseMemory returns the memory in bytes for the large responses of all endpoints together.
 func (c *Config) ResponseMemory() int { return c.memoryShare(responseShare) }
 
+// MaxSentRequests returns the number of requests whose IDs are remembered after they were sent.
+func (c *Config) MaxSentRequests() int {
+	return min(maxSentRequests, c.memoryShare(sentRequestShare)/sentRequestBytes)
+}
+
 // maxCustomers returns the number of idle customers that the policy may remember, or 0 if the memory is not limited.
 func (c *Config) maxCustomers() int {
 	if c.Limits.MemoryMB <= 0 {
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -35,6 +35,7 @@
 	parser   *requestParser
 	limiter  *connectionLimiter
 	open     openRequests
+	sent     *sentRequests
 	ready    atomic.Bool
 	draining atomic.Bool
 
@@ -48,6 +49,7 @@
 		parser:  newRequestParser(options.Settings),
 		limiter: limiter,
 		open:    openRequests{ids: map[string]struct{}{}},
+		sent:    newSentRequests(options.MaxSentRequests, options.LongestDeadline+transferMargin),
 
 		roomRetryAfter: roomRetryAfter(options.Settings),
 	}
@@ -120,6 +122,10 @@
 		return
 	}
 	defer h.open.remove(parsed.id)
+	if !parsed.repeatable && h.sent.contains(parsed.id, time.Now()) {
+		h.respondError(w, r, &RequestError{http.StatusConflict, "a request with the same id has been sent"})
+		return
+	}
 	if conn := connectionOf(r); conn != nil {
 		conn.markUnanswered(parsed.id)
 	}
@@ -127,7 +133,7 @@
 	h.engine.Submit(call)
 	stop := context.AfterFunc(r.Context(), func() { h.engine.DisconnectClient(call) })
 	defer stop()
-	h.serveCall(w, r, call, body)
+	h.serveCall(w, r, call, parsed, body)
 }
 
 // checkFraming rejects bodies without a definite length, which allow request smuggling. If a request has both a
@@ -144,9 +150,12 @@
 
 // serveAttempt carries out an attempt and reports whether its response was sent to the client.
 func (h *handler) serveAttempt(w http.ResponseWriter, r *http.Request, call *eventloop.Call, attempt *upstream.Attempt,
-	body []byte) bool {
+	parsed parsedRequest, body []byte) bool {
 	result := attempt.Do(newUpstreamRequest(r), body)
 	defer result.Response.Release()
+	if !parsed.repeatable && !result.Status.NeverExecuted() {
+		h.sent.add(parsed.id, time.Now())
+	}
 	h.engine.FinishAttempt(call, result)
 	if result.Status != policy.StatusOK {
 		return false
@@ -156,11 +165,12 @@
 }
 
 // serveCall carries out the commands for a call until the response is sent.
-func (h *handler) serveCall(w http.ResponseWriter, r *http.Request, call *eventloop.Call, body []byte) {
+func (h *handler) serveCall(w http.ResponseWriter, r *http.Request, call *eventloop.Call, parsed parsedRequest,
+	body []byte) {
 	for command := range call.Commands() {
 		switch command := command.(type) {
 		case eventloop.Forward:
-			if h.serveAttempt(w, r, call, command.Attempt, body) {
+			if h.serveAttempt(w, r, call, command.Attempt, parsed, body) {
 				return
 			}
 		case eventloop.Reject:
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -47,15 +47,17 @@
 type requestClass struct {
 	index       int // index in the settings
 	method      string
+	repeatable  bool // a request may run more than once
 	keyRequired bool
 	deadline    time.Duration // longest deadline of a request; 0 means no limit
 }
 
 // parsedRequest is the parsed head of a request.
 type parsedRequest struct {
-	id       string
-	request  policy.Request
-	deadline time.Duration // time on the gateway clock by which the last command must be given
+	id         string
+	repeatable bool // it may run more than once
+	request    policy.Request
+	deadline   time.Duration // time on the gateway clock by which the last command must be given
 }
 
 func newRequestParser(s *settings.Settings) *requestParser {
@@ -76,6 +78,7 @@
 		p.classes[c.Name] = requestClass{
 			index:       i,
 			method:      method,
+			repeatable:  c.Repeat == settings.RepeatIdempotent,
 			keyRequired: c.Repeat == settings.RepeatDeduplicated,
 			deadline:    settings.Duration(c.HardLimitMs),
 		}
@@ -120,7 +123,8 @@
 		return parsedRequest{}, err
 	}
 	return parsedRequest{
-		id: id,
+		id:         id,
+		repeatable: class.repeatable,
 		request: policy.Request{
 			Class:    class.index,
 			Plan:     plan,
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -27,6 +27,7 @@
 	Settings        *settings.Settings
 	MaxConnections  int           // maximum number of client connections, including those that wait for an eviction
 	LongestDeadline time.Duration // longest deadline of any class
+	MaxSentRequests int           // requests of one period whose IDs are remembered after they were sent
 	RequestMemory   int           // bytes for the large requests of all clients together, raised to hold one at least
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 		Settings:        &cfg.Settings,
 		MaxConnections:  cfg.ClientConnections(),
 		LongestDeadline: cfg.LongestDeadline(),
+		MaxSentRequests: cfg.MaxSentRequests(),
 		RequestMemory:   cfg.RequestMemory(),
 	})
 	return &components{clock: gatewayClock, loop: loop, discovery: discoveryClient, server: server}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -11,14 +11,14 @@
 
 // endAttempt records that the attempt in flight has ended, and whether it may have been executed.
 func (r *request) endAttempt(status Status) {
-	if !status.neverExecuted() && status != StatusOK && r.mayHaveRunOn == nil {
+	if !status.NeverExecuted() && status != StatusOK && r.mayHaveRunOn == nil {
 		r.mayHaveRunOn, r.mayHaveRunAt = r.currentEndpoint, r.sentAt
 	}
 	r.currentEndpoint = nil
 }
 
-// neverExecuted reports whether an attempt with this outcome was certainly not executed.
-func (s Status) neverExecuted() bool {
+// NeverExecuted reports whether an attempt with this outcome was certainly not executed.
+func (s Status) NeverExecuted() bool {
 	switch s {
 	case StatusRejected, StatusConnectFailed, StatusNotSent, StatusLocalFailure:
 		return true
@@ -80,7 +80,7 @@
 }
 
 // neverReached reports whether an attempt with this outcome was certainly not received by its endpoint.
-func (s Status) neverReached() bool { return s.neverExecuted() && s != StatusRejected }
+func (s Status) neverReached() bool { return s.NeverExecuted() && s != StatusRejected }
 
 // canReject reports whether a request may still be rejected. A rejection promises that nothing has been
 // executed; for an idempotent request this does not matter.
