Send no request behind which too much waits unread to see its client leave

Reported by operators of other deployments: a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: the end of a connection comes behind its bytes. With a full receive buffer it cannot arrive, so that closedByClient does not see it.

Change: a request behind which 32 KiB or more wait unread is not sent, neither at first nor after it has waited, and is rejected with 503. Half of the smallest default window of Linux is free below that, so that the end arrives.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -44,6 +44,7 @@
 	RequestEvicted       // an incomplete request was rejected to make room for another connection
 	RequestWithoutRoom   // a request was rejected because there was no room for its connection
 	RequestWithoutMemory // a request was rejected because there was no memory for it
+	RequestHidesClose    // a request was rejected because so much was sent behind it that its client may have left
 	ListPublished
 	WatchEnded
 	eventCount
@@ -64,6 +65,7 @@
 	RequestAbandoned: "request_abandoned", RequestInvalid: "request_invalid",
 	RequestEvicted: "request_evicted", RequestWithoutRoom: "request_without_room",
 	RequestWithoutMemory: "request_without_memory",
+	RequestHidesClose:    "request_hides_close",
 	ListPublished:        "list_published", WatchEnded: "watch_ended",
 }
 
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,6 +24,13 @@
 	readAheadChunk = 512 // bytes
 )
 
+// hiddenCloseBytes is the number of unread bytes behind which the close of a connection may not be seen. It is half of
+// the smallest receive window that Linux gives a connection by default.
+const hiddenCloseBytes = 32 << 10
+
+// peekBuffers holds buffers of type *[hiddenCloseBytes]byte.
+var peekBuffers = sync.Pool{New: func() any { return new([hiddenCloseBytes]byte) }}
+
 // errRequestEvicted is the error of reading a body that has stalled while connections are short.
 var errRequestEvicted = errors.New("the request was evicted before it was complete")
 
@@ -266,6 +274,22 @@
 	c.limiter.beginIdle(c)
 }
 
+// mayHaveLeft reports whether the client has closed the connection or its sending side, or may have done so unseen.
+func (c *clientConn) mayHaveLeft() bool { return c.closedByClient() || c.hidesClose() }
+
+// hidesClose reports whether so many bytes wait to be read that the receive buffer may be full. The end of the stream
+// can't arrive then, so that nothing shows whether the client is still there. Clients of the protocol send one request
+// at a time and never get there.
+func (c *clientConn) hidesClose() bool {
+	if n, err := c.peek(); n == 0 || err != nil {
+		return false
+	}
+	buffer := peekBuffers.Get().(*[hiddenCloseBytes]byte)
+	defer peekBuffers.Put(buffer)
+	n, err := c.peekInto(buffer[:])
+	return err == nil && n == len(buffer)
+}
+
 // closedByClient reports whether the client has closed the connection or its sending side, even if unread bytes precede
 // the end of the stream.
 func (c *clientConn) closedByClient() bool {
@@ -297,13 +321,18 @@
 // peek checks the receive buffer for bytes without removing them. It returns 1 if there are any. 0 without an error
 // means that the client has closed the connection.
 func (c *clientConn) peek() (n int, err error) {
+	var buffer [1]byte
+	return c.peekInto(buffer[:])
+}
+
+// peekInto is like peek, but copies as many bytes as the buffer holds and returns their number.
+func (c *clientConn) peekInto(buffer []byte) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0, err
 	}
 	controlErr := raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	if controlErr != nil {
 		return 0, controlErr
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -39,7 +39,8 @@
 }
 
 // clientContext is the context of a client's request. Its error also reports a disconnect of the client that net/http
-// has not noticed yet, because the process was suspended or had no processor time. Done does not.
+// has not noticed yet, because the process was suspended or had no processor time, and one that cannot be seen. Done
+// does not.
 type clientContext struct {
 	context.Context
 	conn *clientConn // nil if no limitedListener accepted the connection
@@ -50,7 +51,7 @@
 	if err := c.Context.Err(); err != nil {
 		return err
 	}
-	if c.conn != nil && c.conn.closedByClient() {
+	if c.conn != nil && c.conn.mayHaveLeft() {
 		return context.Canceled
 	}
 	return nil
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -92,6 +92,9 @@
 		conn.markAbandoned()
 		counters.Count(counters.RequestAbandoned, parsed.id)
 		panic(http.ErrAbortHandler)
+	case conn != nil && conn.hidesClose():
+		counters.Count(counters.RequestHidesClose, parsed.id)
+		h.respondRejected(w, r, 0)
 	case h.limiter.isFull(conn):
 		counters.Count(counters.RequestWithoutRoom, parsed.id)
 		h.respondRejected(w, r, h.roomRetryAfter)
