--- a/internal/gateway/client_disconnect_test.go
+++ b/internal/gateway/client_disconnect_test.go
@@ -107,8 +107,7 @@
 			client.WriteText(following)
 			d.perform(t, client)
 			g.awaitDisconnectedRequestEnd()
-			watch := testkit.Receive(t, "the watch", registry.Watches)
-			send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
+			listServer(t, registry, server)
 			g.wantOnlyLookup(server)
 		}
 	})
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// wantStoppedClientRejected checks that a request of a new connection is served, and that one of the stopped clients,
+// whose next statuses arrive on the channel, is rejected to make room for it.
+func (g *testGateway) wantStoppedClientRejected(statuses <-chan int) {
+	g.t.Helper()
+	if response := g.lookup(testkit.Plan); response.Status != http.StatusOK {
+		g.t.Errorf("got %+v", response)
+	}
+	status := testkit.Receive(g.t, "the end of a stopped request", statuses)
+	if status != http.StatusServiceUnavailable {
+		g.t.Errorf("the first stopped request to end got status %d, want 503", status)
+	}
+}
+
 // Clients that stop in the middle of a body must not hold up the request of a new connection until their bodies time
 // out. One of them must be rejected to make room.
 func TestStoppedClientsHoldUpNoRequest(t *testing.T) {
@@ -98,12 +111,7 @@
 		client.WriteText(request[:len(request)-1])
 		go func() { statuses <- client.ReadResponse().Status }()
 	}
-	if response := g.lookup(testkit.Plan); response.Status != http.StatusOK {
-		t.Errorf("got %+v", response)
-	}
-	if status := testkit.Receive(t, "the end of a stopped request", statuses); status != http.StatusServiceUnavailable {
-		t.Errorf("the first stopped request to end got status %d, want 503", status)
-	}
+	g.wantStoppedClientRejected(statuses)
 }
 
 // Clients that stop in the head of a further request must not hold up the request of a new connection until their heads
@@ -121,12 +129,7 @@
 		}
 		go func() { statuses <- client.ReadResponse().Status }()
 	}
-	if response := g.lookup(testkit.Plan); response.Status != http.StatusOK {
-		t.Errorf("got %+v", response)
-	}
-	if status := testkit.Receive(t, "the end of a stopped request", statuses); status != http.StatusServiceUnavailable {
-		t.Errorf("the first stopped request to end got status %d, want 503", status)
-	}
+	g.wantStoppedClientRejected(statuses)
 }
 
 // A client for whose connection there is no room must not keep the next connections waiting if it stops in the head of
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -128,7 +128,6 @@
 	g.stop()
 	g.awaitListenerClosed()
 	server := okServer(t)
-	watch := testkit.Receive(t, "the watch", registry.Watches)
-	send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
+	listServer(t, registry, server)
 	wantLastResponse(t, g, client)
 }
--- a/internal/gateway/excess_bytes_test.go
+++ b/internal/gateway/excess_bytes_test.go
@@ -37,8 +37,7 @@
 	client.WriteText(excessBytes)
 	closeClient(t, client)
 	g.awaitDisconnectedRequestEnd()
-	watch := testkit.Receive(t, "the watch", registry.Watches)
-	send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
+	listServer(t, registry, server)
 	g.wantOnlyLookup(server)
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -223,6 +223,13 @@
 	}
 }
 
+// listServer makes the server the only one that the next watch of the gateway lists.
+func listServer(t testing.TB, registry *testkit.Registry, server *testkit.Server) {
+	t.Helper()
+	watch := testkit.Receive(t, "the watch", registry.Watches)
+	send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
+}
+
 // withLongDeadlines gives requests longer deadlines than any test waits.
 func withLongDeadlines(cfg *config.Config, _ *options) { testkit.ExtendDeadlines(&cfg.Settings) }
 
--- a/internal/gateway/hidden_disconnect_test.go
+++ b/internal/gateway/hidden_disconnect_test.go
@@ -42,8 +42,7 @@
 	g.awaitOpen("disconnecting")
 	writeUntilBlocked(t, client, longDeadlineRequest("pay", "further"))
 	closeClient(t, client)
-	watch := testkit.Receive(t, "the watch", registry.Watches)
-	send(t, watch, testkit.EndpointListJSON(2, true, testkit.EndpointLine("s", server.Address(), "up", 0)))
+	listServer(t, registry, server)
 	g.awaitDisconnectedRequestEnd()
 	g.wantOnlyLookup(server)
 }
